--- a/include/cuminpitch/consensus/file_storage.hpp
+++ b/include/cuminpitch/consensus/file_storage.hpp
@@ -14,11 +14,15 @@
 class file_storage : public storage
 {
 public:
-    /// Creates the folder and an identity drawn from `random` if there is none.
+    /// Creates the folder and an identity if there is none: `new_identity` (32 hex
+    /// digits), or one drawn from `random`.
     /// std::errc::device_or_resource_busy if another process uses the folder,
     /// errc::incompatible_format, errc::damaged_record if files are missing.
     static core::result<std::unique_ptr<file_storage>>
-    open(const std::filesystem::path& folder, core::random_source& random);
+    open(
+        const std::filesystem::path& folder,
+        core::random_source& random,
+        const std::optional<member_id>& new_identity = std::nullopt);
 
     ~file_storage() override;
 
--- a/include/cuminpitch/control/command.hpp
+++ b/include/cuminpitch/control/command.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cuminpitch/control/fleet_view.hpp"
+#include "cuminpitch/control/server_record.hpp"
 #include "cuminpitch/core/ids.hpp"
 
 #include <absl/container/btree_map.h>
@@ -25,6 +26,15 @@
     friend bool operator==(const operation&, const operation&) = default;
 };
 
+/// A whole document of declarations, of which the highest number wins.
+struct document
+{
+    std::uint64_t number = 0; ///< Chosen by the operator; 0 means "none".
+    std::string source;       ///< Text as the operator sent it.
+
+    friend bool operator==(const document&, const document&) = default;
+};
+
 /// An operator's change of settings. Applied as a whole or not at all.
 struct change
 {
@@ -32,6 +42,9 @@
     core::revision base_revision; ///< Revision that the operator saw.
     std::vector<operation> operations;
     std::int64_t time_ms = 0; ///< Wall-clock time at the proposer, for the history only.
+    /// The document that the operations bring into force. Without effect if its number
+    /// isn't above that of the present one.
+    std::optional<control::document> document;
 
     friend bool operator==(const change&, const change&) = default;
 };
@@ -67,7 +80,17 @@
     friend bool operator==(const set_assignment&, const set_assignment&) = default;
 };
 
-using command = std::variant<change, entry_joined, entry_removed, set_assignment>;
+/// A backend server announced itself, or a change of what it said before. It replaces
+/// older servers at the same address.
+struct server_announced
+{
+    server_record server;
+
+    friend bool operator==(const server_announced&, const server_announced&) = default;
+};
+
+using command =
+    std::variant<change, entry_joined, entry_removed, set_assignment, server_announced>;
 
 /// A command that changed the state, with the revision that it made.
 struct numbered_command
--- a/include/cuminpitch/control/fleet_contents.hpp
+++ b/include/cuminpitch/control/fleet_contents.hpp
@@ -28,10 +28,17 @@
     /// A list stays when its pool is deleted: a pool declared again under the same name
     /// must continue from it, or leases of both lists could overlap.
     absl::btree_map<core::pool_id, pool_assignment> assignments;
+    /// Servers of pools that every entry serves.
+    server_records servers;
+    /// The newest document that is in force. Entries get its number only.
+    control::document document;
 
     friend bool operator==(const fleet_contents&, const fleet_contents&) = default;
 };
 
+/// The command without what entries don't need.
+command for_entries(command it);
+
 /// Applies a command that is known to be effective. Returns whether settings changed.
 bool apply_effect(fleet_contents& contents, const numbered_command& it);
 
--- a/include/cuminpitch/control/fleet_view.hpp
+++ b/include/cuminpitch/control/fleet_view.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cuminpitch/config/declarations.hpp"
+#include "cuminpitch/control/server_record.hpp"
 #include "cuminpitch/core/endpoint.hpp"
 #include "cuminpitch/core/ids.hpp"
 
@@ -31,6 +32,9 @@
     friend bool operator==(const pool_assignment&, const pool_assignment&) = default;
 };
 
+/// Records of the servers of each pool, by id.
+using pool_servers = absl::btree_map<core::pool_id, std::vector<server_record>>;
+
 /// The committed fleet state of one revision as an entry uses it. Immutable and shared.
 struct fleet_view
 {
@@ -38,6 +42,11 @@
     std::shared_ptr<const config::declarations> declarations;
     absl::btree_map<core::instance_id, entry_record> entries;
     absl::btree_map<core::pool_id, pool_assignment> assignments;
+    /// Servers that are not gone, of pools that every entry serves. The same pointer
+    /// until one of them changes.
+    std::shared_ptr<const pool_servers> servers;
+    /// Number of the newest document of declarations in force, 0 for none.
+    std::uint64_t document_number = 0;
 };
 
 using fleet_view_ptr = std::shared_ptr<const fleet_view>;
--- a/include/cuminpitch/control/node.hpp
+++ b/include/cuminpitch/control/node.hpp
@@ -2,6 +2,7 @@
 
 #include "cuminpitch/consensus/action.hpp"
 #include "cuminpitch/consensus/storage.hpp"
+#include "cuminpitch/control/call.hpp"
 #include "cuminpitch/control/compile.hpp"
 #include "cuminpitch/control/controller.hpp"
 #include "cuminpitch/core/random.hpp"
@@ -27,7 +28,22 @@
     core::endpoint http;
     core::endpoint internal;
     core::failure_domain_id failure_domain;
-    std::vector<core::endpoint> peers; ///< Internal endpoints of the other instances.
+    /// Internal endpoints of the other instances, or of some of them if `admits_members`.
+    std::vector<core::endpoint> peers;
+    /// Control instances that make themselves known become voters, and voters that stay
+    /// silent for `silent_voter_timeout` are removed.
+    bool admits_members = false;
+    absl::Duration silent_voter_timeout = absl::Seconds(15);
+    /// Time between changes of members; each needs a commit.
+    absl::Duration member_interval = absl::Milliseconds(50);
+    /// Entries in an answer to callers at most.
+    std::size_t entries_per_answer = 3;
+    /// An entry that was not heard from for this long is not named to callers: three
+    /// intervals of its presence.
+    absl::Duration presence_timeout = absl::Milliseconds(1600);
+    /// An API call without an outcome by then is answered as unavailable, before its
+    /// caller gives it up after a second.
+    absl::Duration call_timeout = absl::Milliseconds(900);
 
     absl::Duration hello_interval = absl::Milliseconds(500);
     /// An operator's change without an outcome by then is answered as unknown.
@@ -66,10 +82,21 @@
 {
 };
 
+/// The settings name other instances.
+struct peers_changed
+{
+    std::vector<core::endpoint> peers;
+};
+
 } // namespace event
 
-using node_event = std::
-    variant<event::operator_request, event::frame_received, event::tick, event::stop>;
+using node_event = std::variant<
+    event::operator_request,
+    event::frame_received,
+    event::tick,
+    event::stop,
+    event::peers_changed,
+    api_call>;
 
 namespace action {
 
@@ -79,6 +106,13 @@
     http::response response;
 };
 
+/// The answer to an API call.
+struct answer_call
+{
+    core::request_id id;
+    api_answer answer;
+};
+
 struct send_frame
 {
     core::endpoint to;
@@ -113,6 +147,7 @@
     consensus::write_snapshot,
     consensus::sync_writes,
     action::respond,
+    action::answer_call,
     action::send_frame,
     action::form_group,
     action::write_log,
--- a/include/cuminpitch/control/sync.hpp
+++ b/include/cuminpitch/control/sync.hpp
@@ -30,6 +30,8 @@
     core::revision in_force;
     bool draining = false;
     std::vector<contact_age> contacts;
+    /// control_hash_of() the control instances that the entry knows.
+    std::uint64_t control_hash = 0;
 
     friend bool operator==(const sync_request&, const sync_request&) = default;
 };
@@ -54,8 +56,45 @@
     /// first confirmed answer: after a restart it may have taken an older list from a
     /// peer.
     bool confirmed = false;
+    /// Since the sender had contact with a leader that had contact with a majority; an
+    /// entry looks for a sender with a newer state if it is long.
+    absl::Duration age;
+    /// Internal endpoints of the control instances, sorted; empty if the entry knows them.
+    std::vector<core::endpoint> control;
+};
+
+/// An entry makes itself known to each control instance, which tells callers about it.
+struct presence
+{
+    entry_record entry;
+    std::uint64_t incarnation = 0;
+    bool ready = false; ///< Callers may connect to it.
+
+    friend bool operator==(const presence&, const presence&) = default;
 };
 
+/// Between entries: failures of servers that the sender saw since it last said so. An
+/// empty one says that the sender carries requests and wants to be told.
+struct pool_evidence
+{
+    struct server_failures
+    {
+        core::server_id server;
+        std::uint32_t count = 0;
+
+        friend bool
+        operator==(const server_failures&, const server_failures&) = default;
+    };
+
+    core::pool_id pool;
+    std::vector<server_failures> failures;
+
+    friend bool operator==(const pool_evidence&, const pool_evidence&) = default;
+};
+
+/// Tells whether two sorted lists of control instances are the same.
+std::uint64_t control_hash_of(const std::vector<core::endpoint>& sorted);
+
 /// Between entries: asks for the peer's state if it is newer.
 struct state_request
 {
@@ -71,6 +110,12 @@
     std::shared_ptr<const fleet_contents> contents;
 };
 
-using message = std::variant<sync_request, sync_response, state_request, state_response>;
+using message = std::variant<
+    sync_request,
+    sync_response,
+    state_request,
+    state_response,
+    presence,
+    pool_evidence>;
 
 } // namespace cuminpitch::control
--- a/include/cuminpitch/core/process_settings.hpp
+++ b/include/cuminpitch/core/process_settings.hpp
@@ -5,6 +5,8 @@
 #include "cuminpitch/core/setting_parser.hpp"
 #include "cuminpitch/telemetry/log.hpp"
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -21,6 +23,16 @@
     failure_domain_id failure_domain; ///< `--failure-domain`.
     std::vector<endpoint> peers; ///< `--peers`, internal endpoints of the other control
                                  ///< instances; empty for a single instance.
+    /// `--seeds`, internal endpoints of some control instances, this one perhaps among
+    /// them. Instead of `peers`: the group admits instances that make themselves known.
+    std::vector<endpoint> seeds;
+    /// `--form-group`: the seeds form the group. Only for the first start of a fleet; has
+    /// no effect on an instance whose data folder isn't empty.
+    bool form_group = false;
+    /// `--directory`, a second HTTP address, for callers that ask which entries to use.
+    std::optional<endpoint> directory;
+    /// `--entries-per-answer`, entries named to a caller at most.
+    std::uint32_t entries_per_answer = 3;
     telemetry::severity log_level = telemetry::severity::info; ///< `--log-level`.
     bool fault_injection = false; ///< `--fault-injection`, only for tests.
 };
@@ -34,6 +46,17 @@
     failure_domain_id failure_domain; ///< `--failure-domain`.
     std::vector<endpoint> control;    ///< `--control`, internal endpoints of the control
                                       ///< instances.
+    /// `--seeds`, internal endpoints of some control instances, which tell the others.
+    /// Instead of `control`.
+    std::vector<endpoint> seeds;
+    /// `--readiness`, HTTP address at which the entry says whether callers may connect.
+    std::optional<endpoint> readiness;
+    /// `--isolation-timeout`: without contact to the fleet for this long, requests are
+    /// refused.
+    absl::Duration isolation_timeout = absl::Seconds(5);
+    /// `--stop-grace`: time from the signal to stop to the end of the process at most.
+    /// New requests are taken for half of it.
+    std::optional<absl::Duration> stop_grace;
     std::vector<endpoint> peers;      ///< `--peers`, internal endpoints of some other
                                       ///< entries; may be empty.
     telemetry::severity log_level = telemetry::severity::info; ///< `--log-level`.
--- a/include/cuminpitch/core/setting_parser.hpp
+++ b/include/cuminpitch/core/setting_parser.hpp
@@ -5,6 +5,7 @@
 #include <absl/time/time.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -46,6 +47,7 @@
 endpoint_list_setting(std::size_t min, std::size_t max);
 /// A duration with unit, such as "500ms" or "10s".
 setting_type<absl::Duration> duration_setting(absl::Duration min, absl::Duration max);
+setting_type<std::uint32_t> count_setting(std::uint32_t min, std::uint32_t max);
 /// An existing folder in which this process can create files.
 setting_type<std::string> writable_folder_setting();
 setting_type<std::string> choice_setting(const std::vector<std::string>& choices);
--- a/include/cuminpitch/entry/events.hpp
+++ b/include/cuminpitch/entry/events.hpp
@@ -51,6 +51,12 @@
 {
 };
 
+/// The settings name other control instances.
+struct control_changed
+{
+    std::vector<core::endpoint> control;
+};
+
 } // namespace event
 
 using node_event = std::variant<
@@ -59,7 +65,8 @@
     event::call_finished,
     event::frame_received,
     event::tick,
-    event::stop>;
+    event::stop,
+    event::control_changed>;
 
 namespace action {
 
@@ -93,6 +100,11 @@
     std::vector<telemetry::field> fields;
 };
 
+/// Accept no further connections.
+struct stop_listening
+{
+};
+
 /// The planned stop is complete.
 struct exit
 {
@@ -106,6 +118,7 @@
     action::cancel_call,
     action::send_frame,
     action::write_log,
+    action::stop_listening,
     action::exit>;
 
 } // namespace cuminpitch::entry
--- a/include/cuminpitch/entry/node.hpp
+++ b/include/cuminpitch/entry/node.hpp
@@ -3,12 +3,14 @@
 #include "cuminpitch/control/compile.hpp"
 #include "cuminpitch/control/fleet_view.hpp"
 #include "cuminpitch/entry/events.hpp"
+#include "cuminpitch/request/dialect.hpp"
 #include "cuminpitch/telemetry/metrics.hpp"
 
 #include <absl/time/time.h>
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace cuminpitch::entry {
@@ -35,6 +37,20 @@
     /// Without contact to any other process of the fleet for this time, the entry refuses
     /// requests, as the fault is then its own.
     absl::Duration isolation_timeout = absl::Seconds(5);
+    /// The state of a control instance that has been out of touch with a majority for
+    /// longer counts as no answer.
+    absl::Duration stale_state_limit = absl::InfiniteDuration();
+    /// Time between presences, by which control names this entry to callers; none are
+    /// sent if infinite.
+    absl::Duration presence_interval = absl::InfiniteDuration();
+    /// During a planned stop new requests are taken for this long; `keep` and a margin if
+    /// not set.
+    std::optional<absl::Duration> stop_grace;
+    /// During a planned stop each response closes its connection.
+    bool closes_when_stopping = false;
+    request::dialect dialect;
+    /// Logs each decision on a request.
+    bool explains = false;
 };
 
 /// One entry instance as a state machine: composes the fleet state, the health of its
@@ -56,6 +72,8 @@
 
     /// Revision in force, 0 before the first.
     core::revision revision() const;
+    /// Callers may connect: declarations are in force and no stop has begun.
+    bool is_ready() const;
 
 private:
     class impl;
--- a/include/cuminpitch/http/client.hpp
+++ b/include/cuminpitch/http/client.hpp
@@ -40,6 +40,9 @@
     /// Uses a new connection, so that a connection that the server is just closing can't
     /// leave the outcome in doubt.
     bool fresh_connection = false;
+    /// A response without length is complete where the server closes its connection. If
+    /// not set, it counts as short, since a crash may look the same.
+    bool accepts_close_delimited = false;
     std::uint64_t max_response_bytes = 8U << 20U;
 };
 
@@ -52,6 +55,8 @@
     http::response response; ///< Valid if failure is none.
     absl::Duration elapsed;
     bool reused_connection = false;
+    /// No connection was made in time, and nobody refused one.
+    bool connect_timed_out = false;
 };
 
 struct client_options
--- a/include/cuminpitch/http/refusal.hpp
+++ b/include/cuminpitch/http/refusal.hpp
@@ -22,6 +22,8 @@
     std::string reason; ///< Lower case with hyphens.
     absl::Duration retry_after = absl::Seconds(1);
     std::vector<std::string> entries; ///< "host:port" of entries that serve the pool.
+    /// No body, no entries, and Retry-After with decimal places.
+    bool is_terse = false;
 };
 
 /// Headers Cuminpitch-Verdict, Cuminpitch-Reason and Retry-After (whole seconds, rounded
--- a/include/cuminpitch/request/dispatcher.hpp
+++ b/include/cuminpitch/request/dispatcher.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cuminpitch/core/random.hpp"
+#include "cuminpitch/request/dialect.hpp"
 #include "cuminpitch/request/events.hpp"
 #include "cuminpitch/request/route_table.hpp"
 #include "cuminpitch/telemetry/metrics.hpp"
@@ -22,6 +23,9 @@
     /// The bounds of queues, callers' shares and expected waits can be left out for
     /// comparison in benchmarks.
     bool has_admission_control = true;
+    request::dialect dialect;
+    /// Emits an `explain` for each decision.
+    bool explains = false;
 };
 
 /// Requests of one pool at this entry.
--- a/include/cuminpitch/request/events.hpp
+++ b/include/cuminpitch/request/events.hpp
@@ -7,11 +7,13 @@
 #include "cuminpitch/http/client.hpp"
 #include "cuminpitch/http/message.hpp"
 #include "cuminpitch/request/refusal_reason.hpp"
+#include "cuminpitch/telemetry/log.hpp"
 
 #include <absl/time/time.h>
 
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -29,6 +31,9 @@
     std::uint32_t slots = 0; ///< This entry's share, after the cold-start ramp.
     bool suspected = false;  ///< Chosen last.
     bool probation = false;  ///< One request at a time, idempotent if the pool has such.
+    /// Added to the used part of its slots where servers are compared: for recent
+    /// failures, a cold start, or the distance to it.
+    double penalty = 0;
 };
 
 /// An assigned entry of a pool, other than this one.
@@ -47,6 +52,8 @@
     std::vector<server_view> servers;
     std::vector<entry_view> entries;
     bool is_mine = false; ///< This entry is assigned to the pool.
+    core::revision revision; ///< Of the fleet state that the servers are from.
+    absl::Time as_of;        ///< When control last confirmed that state.
 };
 
 /// What this entry knows of itself.
@@ -90,7 +97,9 @@
     attempt_id attempt;
     core::endpoint to;
     absl::Duration timeout;
+    absl::Duration connect_timeout = absl::Seconds(1);
     bool fresh_connection = false;
+    bool accepts_close_delimited = false;
     std::uint64_t max_response_bytes = 0;
     http::headers headers;
     std::shared_ptr<const http::request> message;
@@ -144,6 +153,10 @@
     core::route_id route;
     observation::kind what = kind::none;
     absl::Duration duration;
+    /// The failure may be one of the way to the server: nothing came back from it.
+    bool is_about_path = false;
+    /// Another server answered at its address.
+    bool is_misdirected = false;
 };
 
 struct observe
@@ -151,8 +164,17 @@
     observation what;
 };
 
-using action =
-    std::variant<start_attempt, forward, respond, refuse, cancel_attempt, observe>;
+/// Says what was decided about a request and why, for the log.
+struct explain
+{
+    core::request_id request;
+    std::string correlation; ///< Id that the caller gave the request, may be empty.
+    std::string what;
+    std::vector<telemetry::field> inputs;
+};
+
+using action = std::
+    variant<start_attempt, forward, respond, refuse, cancel_attempt, observe, explain>;
 
 /// The request for http::client. Copies the body.
 http::client_request make_client_request(const outgoing& it);
--- a/include/cuminpitch/request/refusal_reason.hpp
+++ b/include/cuminpitch/request/refusal_reason.hpp
@@ -30,6 +30,9 @@
     short_response,    ///< The response was cut.
     response_too_large,
     malformed_response,
+    misdirected,     ///< Another server answered at the server's address.
+    server_failed,   ///< The server answered with a status that can't be passed on.
+    attempts_spent,  ///< The route allows no further server.
     hop_unreachable, ///< No connection to another entry was made.
     hop_failed,      ///< Another entry failed after the request was sent.
 };
@@ -58,6 +61,9 @@
     refusal_reason::short_response,
     refusal_reason::response_too_large,
     refusal_reason::malformed_response,
+    refusal_reason::misdirected,
+    refusal_reason::server_failed,
+    refusal_reason::attempts_spent,
     refusal_reason::hop_unreachable,
     refusal_reason::hop_failed};
 
--- a/include/cuminpitch/request/route_table.hpp
+++ b/include/cuminpitch/request/route_table.hpp
@@ -12,6 +12,13 @@
 
 namespace cuminpitch::request {
 
+/// One pool of a route whose requests are divided among pools.
+struct route_part
+{
+    const config::pool_settings* pool = nullptr;
+    double weight = 0;
+};
+
 /// Finds the route of a request. Immutable.
 class route_table
 {
@@ -19,7 +26,8 @@
     struct match
     {
         const config::route_settings* route = nullptr;
-        const config::pool_settings* pool = nullptr;
+        const config::pool_settings* pool = nullptr; ///< Null if there are parts.
+        std::vector<route_part> parts;
     };
 
     /// Routes whose pool isn't declared are left out.
--- a/src/config/compile.cpp
+++ b/src/config/compile.cpp
@@ -22,6 +22,10 @@
 constexpr double max_false_ejections = 1'000;
 constexpr std::uint64_t max_deadline_ms = 600'000;
 constexpr std::uint64_t max_queue = 65'536;
+constexpr std::uint64_t max_connection_count = 1'000'000;
+constexpr std::uint64_t max_attempt_count = 100;
+constexpr std::uint64_t max_priority = 1'000;
+constexpr std::uint64_t max_header_limit = 64U << 20U;
 // Bodies are buffered whole at an entry.
 constexpr std::uint64_t max_body_bytes = 64U << 20U;
 constexpr std::size_t max_host_length = 253;
@@ -85,6 +89,10 @@
     pool_settings it;
     it.id = id;
     assign(it.entries, from.integer("entries", 1, max_entries));
+    it.every_entry = from.boolean("every_entry").value_or(false);
+    if (it.every_entry && from.has("entries")) {
+        from.report("every_entry", "contradicts entries; allowed: one of the two");
+    }
     assign(it.min_healthy_percent, from.integer("min_healthy_percent", 0, 100));
     if (const auto n = from.integer("min_healthy_servers", 1, max_servers)) {
         it.min_healthy_servers = static_cast<std::uint32_t>(*n);
@@ -108,11 +116,30 @@
     assign(it.caller_share_percent, from.integer("caller_share_percent", 1, 100));
     assign(it.max_request_bytes, from.integer("max_request_bytes", 1, max_body_bytes));
     assign(it.max_response_bytes, from.integer("max_response_bytes", 1, max_body_bytes));
+    assign(it.max_connections, from.integer("max_connections", 1, max_connection_count));
     it.probe_path = from.text("probe_path", path_allowed, is_path);
     from.finish();
     return it;
 }
 
+/// Either one pool or weighted parts.
+void read_destination(route_settings& it, object_reader& from)
+{
+    if (!from.has("split")) {
+        from.require("pool", pool_allowed);
+        it.pool = {it.id.team, from.text("pool", pool_allowed, is_name).value_or("")};
+        return;
+    }
+    if (from.has("pool")) {
+        from.report("split", "contradicts pool; allowed: one of the two");
+        static_cast<void>(from.text("pool", pool_allowed, is_name));
+    }
+    for (const auto& [pool, weight] :
+         from.weights("split").value_or(object_reader::weight_list())) {
+        it.split.push_back({{it.id.team, pool}, weight});
+    }
+}
+
 route_settings read_route(const core::route_id& id, object_reader& from)
 {
     route_settings it;
@@ -124,22 +151,46 @@
         from.text("path_prefix", prefix_allowed, is_route_prefix).value_or("");
     it.methods =
         from.choices("methods", known_methods).value_or(std::vector<std::string>());
-    from.require("pool", pool_allowed);
-    it.pool = {id.team, from.text("pool", pool_allowed, is_name).value_or("")};
+    read_destination(it, from);
     it.idempotent = from.boolean("idempotent").value_or(false);
     if (const auto ms = from.integer("deadline_ms", 1, max_deadline_ms)) {
         it.deadline = absl::Milliseconds(*ms);
     }
+    if (const auto n = from.integer("max_attempts", 1, max_attempt_count)) {
+        it.max_attempts = static_cast<std::uint32_t>(*n);
+    }
+    if (const auto ms = from.integer("target_latency_ms", 1, 2 * max_deadline_ms)) {
+        it.target_latency = absl::Milliseconds(*ms);
+        if (it.deadline && *it.target_latency >= *it.deadline + target_latency_excess) {
+            from.report(
+                "target_latency_ms",
+                "is a minute or more above deadline_ms; allowed: less than that");
+        }
+    }
+    assign(it.priority, from.integer("priority", 0, max_priority));
+    from.finish();
+    return it;
+}
+
+caller_limits read_limits(object_reader& from)
+{
+    caller_limits it;
+    assign(it.max_header_bytes, from.integer("max_header_bytes", 1, max_header_limit));
+    assign(it.max_body_bytes, from.integer("max_body_bytes", 1, max_body_bytes));
+    assign(it.header_timeout, from.integer("header_timeout_ms", 1, max_deadline_ms));
+    assign(it.idle_timeout, from.integer("idle_timeout_ms", 1, max_deadline_ms));
     from.finish();
     return it;
 }
 
-/// "teams", team, "pools" or "routes", name, setting; empty if the path is not allowed.
+/// "teams", team, "pools", "routes" or "limits", name, setting; empty if the path is not
+/// allowed. The only limits are those of "callers".
 std::vector<std::string> split_path(const std::string& path)
 {
     std::vector<std::string> parts = absl::StrSplit(path, '/');
     const bool allowed = parts.size() == 5 && parts[0] == "teams" && is_name(parts[1]) &&
-                         (parts[2] == "pools" || parts[2] == "routes") &&
+                         (parts[2] == "pools" || parts[2] == "routes" ||
+                          (parts[2] == "limits" && parts[3] == "callers")) &&
                          is_name(parts[3]) && !parts[4].empty();
     return allowed ? parts : std::vector<std::string>();
 }
@@ -161,8 +212,9 @@
         problems_.push_back(
             {file_of(path),
              path,
-             "path is not allowed; allowed: teams/<team>/pools/<pool>/<setting> and "
-             "teams/<team>/routes/<route>/<setting>, names of [a-z0-9-]{1,63}"});
+             "path is not allowed; allowed: teams/<team>/pools/<pool>/<setting>, "
+             "teams/<team>/routes/<route>/<setting> and "
+             "teams/<team>/limits/callers/<setting>, names of [a-z0-9-]{1,63}"});
     }
 
     /// Forgets a pool or route; it stays deleted unless settings of it are added.
@@ -171,6 +223,8 @@
         const core::team_id team(parts[1]);
         if (parts[2] == "pools") {
             result_.pools.erase({team, parts[3]});
+        } else if (parts[2] == "limits") {
+            result_.limits.erase(team);
         } else {
             result_.routes.erase({team, parts[3]});
         }
@@ -187,6 +241,8 @@
             if (kind == "pools") {
                 const core::pool_id id{core::team_id(team), name};
                 result_.pools.emplace(id, read_pool(id, from));
+            } else if (kind == "limits") {
+                result_.limits.emplace(core::team_id(team), read_limits(from));
             } else {
                 const core::route_id id{core::team_id(team), name};
                 auto route = read_route(id, from);
@@ -223,15 +279,21 @@
             for (auto it = result_.routes.lower_bound({team, ""});
                  it != result_.routes.end() && it->first.team == team;
                  ++it) {
-                const auto& pool = it->second.pool;
-                if (!pool.name.empty() && !result_.pools.contains(pool)) {
-                    report_missing_pool(it->first, pool.name);
+                const auto& route = it->second;
+                if (!route.pool.name.empty() && !result_.pools.contains(route.pool)) {
+                    report_missing_pool(it->first, "pool", route.pool.name);
+                }
+                for (const auto& part : route.split) {
+                    if (!result_.pools.contains(part.pool)) {
+                        report_missing_pool(it->first, "split", part.pool.name);
+                    }
                 }
             }
         }
     }
 
-    void report_missing_pool(const core::route_id& id, const std::string& name)
+    void report_missing_pool(
+        const core::route_id& id, const std::string& setting, const std::string& name)
     {
         const auto other =
             std::find_if(result_.pools.begin(), result_.pools.end(), [&](const auto& it) {
@@ -243,7 +305,7 @@
                 : absl::StrCat("belongs to team '", other->first.team.str(), "'");
         report(
             id,
-            "pool",
+            setting,
             absl::StrCat("pool '", name, "' ", reason, "; allowed: ", pool_allowed));
     }
 
--- a/src/config/object_reader.cpp
+++ b/src/config/object_reader.cpp
@@ -106,6 +106,27 @@
     return std::nullopt;
 }
 
+std::optional<object_reader::weight_list> object_reader::weights(const std::string& name)
+{
+    const auto it = take(name);
+    if (!it) {
+        return std::nullopt;
+    }
+    weight_list result;
+    bool valid = it->is_object() && !it->empty();
+    if (valid) {
+        for (const auto& [part, weight] : it->items()) {
+            valid = valid && weight.is_number() && weight.get<double>() >= 0;
+            result.emplace_back(part, valid ? weight.get<double>() : 0);
+        }
+    }
+    if (valid) {
+        return result;
+    }
+    refuse(name, *it, "an object of pool names with weights of at least 0");
+    return std::nullopt;
+}
+
 void object_reader::require(const std::string& name, const std::string& allowed)
 {
     if (!has(name)) {
--- a/src/config/object_reader_priv.hpp
+++ b/src/config/object_reader_priv.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cuminpitch::config {
@@ -35,6 +36,10 @@
     std::optional<std::vector<std::string>>
     choices(const std::string& name, const std::vector<std::string>& choices);
 
+    using weight_list = std::vector<std::pair<std::string, double>>;
+    /// A non-empty object of names with weights of at least 0.
+    std::optional<weight_list> weights(const std::string& name);
+
     bool has(const std::string& name) const { return object_.contains(name); }
     /// Reports a missing setting.
     void require(const std::string& name, const std::string& allowed);
--- a/src/consensus/file_storage.cpp
+++ b/src/consensus/file_storage.cpp
@@ -89,8 +89,8 @@
     std::optional<hard_state> unsynced_state;
     std::vector<entry> unsynced_entries;
 
-    core::result<void> prepare(core::random_source& random);
-    core::result<void> create(core::random_source& random);
+    core::result<void> prepare(const member_id& new_identity);
+    core::result<void> create(const member_id& new_identity);
     core::result<void> load_log(stored_state& out);
     core::result<void> load_snapshot(stored_state& out);
     core::result<void> replace_log(const std::vector<entry>& entries);
@@ -102,14 +102,14 @@
     }
 };
 
-core::result<void> file_storage::impl::prepare(core::random_source& random)
+core::result<void> file_storage::impl::prepare(const member_id& new_identity)
 {
     auto stored = folder.read(identity_file);
     if (!stored) {
         return stored.error();
     }
     if (!stored.value()) {
-        return create(random);
+        return create(new_identity);
     }
     auto decoded = decode_identity(*stored.value());
     if (!decoded) {
@@ -119,7 +119,7 @@
     return boost::outcome_v2::success();
 }
 
-core::result<void> file_storage::impl::create(core::random_source& random)
+core::result<void> file_storage::impl::create(const member_id& new_identity)
 {
     // The identity is written last, so a folder with an identity has all files. A folder
     // with a log but without an identity has lost one.
@@ -133,8 +133,7 @@
     if (has_records || old_snapshot.value()) {
         return make_error_code(core::errc::damaged_record);
     }
-    id = member_id(absl::StrCat(
-        absl::Hex(random(), absl::kZeroPad16), absl::Hex(random(), absl::kZeroPad16)));
+    id = new_identity;
     const std::string identity = std::string(identity_mark) + id.str() + "\n";
     if (auto done = folder.replace(log_name, empty_log_file()); !done) {
         return done.error();
@@ -235,7 +234,10 @@
 file_storage::~file_storage() = default;
 
 core::result<std::unique_ptr<file_storage>>
-file_storage::open(const std::filesystem::path& folder, core::random_source& random)
+file_storage::open(
+    const std::filesystem::path& folder,
+    core::random_source& random,
+    const std::optional<member_id>& new_identity)
 {
     auto opened = data_folder::open(folder);
     if (!opened) {
@@ -243,7 +245,9 @@
     }
     auto it = std::make_unique<impl>();
     it->folder = std::move(opened.value());
-    if (auto done = it->prepare(random); !done) {
+    const member_id drawn(absl::StrCat(
+        absl::Hex(random(), absl::kZeroPad16), absl::Hex(random(), absl::kZeroPad16)));
+    if (auto done = it->prepare(new_identity.value_or(drawn)); !done) {
         return done.error();
     }
     return std::unique_ptr<file_storage>(new file_storage(std::move(it)));
--- a/src/control/assignment_planner.cpp
+++ b/src/control/assignment_planner.cpp
@@ -60,6 +60,9 @@
     update_candidates(at);
     std::vector<set_assignment> result;
     for (const auto& [pool, settings] : committed.declarations->pools) {
+        if (settings.every_entry) {
+            continue;
+        }
         const auto& target = target_of(pool, settings.entries);
         const auto known = committed.assignments.find(pool);
         const bool is_new = known == committed.assignments.end();
--- /dev/null
+++ b/src/control/entry_roster.cpp
@@ -0,0 +1,49 @@
+#include "control/entry_roster_priv.hpp"
+
+#include "cuminpitch/core/hash.hpp"
+
+#include <algorithm>
+
+namespace cuminpitch::control {
+
+void entry_roster::receive(absl::Time now, const presence& it)
+{
+    auto& known = entries_[it.entry.id];
+    if (it.incarnation < known.incarnation) {
+        return;
+    }
+    known = {it.entry, it.incarnation, it.ready, now};
+}
+
+std::vector<entry_record> entry_roster::choose(
+    absl::Time now,
+    const core::failure_domain_id& caller_domain,
+    std::size_t most,
+    absl::Duration timeout) const
+{
+    std::vector<const entry*> usable;
+    for (const auto& [id, it] : entries_) {
+        if (it.ready && now - it.heard <= timeout) {
+            usable.push_back(&it);
+        }
+    }
+    const auto is_near = [&](const entry* it) {
+        return it->record.failure_domain == caller_domain;
+    };
+    std::vector<const entry*> chosen;
+    std::copy_if(usable.begin(), usable.end(), std::back_inserter(chosen), is_near);
+    if (chosen.empty()) {
+        chosen = std::move(usable);
+    }
+    std::sort(chosen.begin(), chosen.end(), [](const entry* a, const entry* b) {
+        return core::hash64(a->record.id.str()) < core::hash64(b->record.id.str());
+    });
+    chosen.resize(std::min(chosen.size(), most));
+    std::vector<entry_record> result;
+    for (const entry* it : chosen) {
+        result.push_back(it->record);
+    }
+    return result;
+}
+
+} // namespace cuminpitch::control
--- a/src/control/fleet_contents.cpp
+++ b/src/control/fleet_contents.cpp
@@ -19,6 +19,9 @@
                 erase_subtree(op.path);
             }
         }
+        if (it.document) {
+            contents.document = *it.document;
+        }
         return true;
     }
     bool operator()(const entry_joined& it) const
@@ -38,6 +41,11 @@
             it.pool, pool_assignment{revision, it.entries});
         return false;
     }
+    bool operator()(const server_announced& it) const
+    {
+        put_server(contents.servers, it.server);
+        return false;
+    }
 
 private:
     void erase_subtree(const std::string& path) const
@@ -62,6 +70,15 @@
     }
 }
 
+command for_entries(command it)
+{
+    auto* made = std::get_if<change>(&it);
+    if (made != nullptr && made->document) {
+        made->document->source.clear();
+    }
+    return it;
+}
+
 bool apply_effect(fleet_contents& contents, const numbered_command& it)
 {
     contents.revision = it.revision;
--- a/src/control/fleet_state.cpp
+++ b/src/control/fleet_state.cpp
@@ -93,7 +93,9 @@
             return delta{base, contents_.revision, commands_after(base)};
         }
         if (!shared_) {
-            shared_ = std::make_shared<const fleet_contents>(contents_);
+            auto copy = std::make_shared<fleet_contents>(contents_);
+            copy->document.source.clear();
+            shared_ = std::move(copy);
         }
         return shared_;
     }
@@ -160,6 +162,14 @@
         return result;
     }
 
+    outcome apply_body(const server_announced& it)
+    {
+        if (effect_of(contents_.servers, it.server) != announcement_effect::changes) {
+            return ignored{};
+        }
+        return commit(it);
+    }
+
     outcome apply_body(const entry_joined& it)
     {
         const auto known = contents_.entries.find(it.entry.id);
@@ -216,6 +226,9 @@
         if (!problems.empty()) {
             return invalid{std::move(problems)};
         }
+        if (it.document && it.document->number <= contents_.document.number) {
+            return ignored{};
+        }
         auto paths = conflicting_paths(it);
         if (!paths.empty()) {
             return conflict{contents_.revision, std::move(paths)};
@@ -226,7 +239,7 @@
     static std::vector<problem> check_paths(const change& it)
     {
         std::vector<problem> result;
-        if (it.operations.empty()) {
+        if (it.operations.empty() && !it.document) {
             result.push_back({"", "the change has no operations"});
         }
         for (const auto& op : it.operations) {
@@ -253,6 +266,7 @@
     outcome apply_operations(const change& it)
     {
         const auto before = touched_settings(it);
+        const auto document_before = contents_.document;
         const auto current = contents_.revision;
         apply_effect(contents_, {last_index_, it});
         compile_base base{declarations_, {}};
@@ -260,6 +274,7 @@
         auto compiled = compile_(contents_.settings, &base);
         if (!compiled.declarations) {
             revert(it, before);
+            contents_.document = document_before;
             contents_.revision = current;
             auto& problems = compiled.problems;
             problems.resize(std::min(problems.size(), outcome_detail_limit));
@@ -269,8 +284,9 @@
         for (const auto& op : it.operations) {
             team_revisions_.insert_or_assign(team_of(op.path), last_index_);
         }
-        append(history_, {last_index_, it});
-        return finish({last_index_, it});
+        const numbered_command item{last_index_, for_entries(it)};
+        append(history_, item);
+        return finish(item);
     }
 
     // The settings at and below the paths of a change.
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -43,6 +43,8 @@
         if (const auto message = wire::decode_control_message(it.message.payload)) {
             if (const auto* report = std::get_if<sync_request>(&message.value())) {
                 receive_report(it.from, *report);
+            } else if (const auto* entry = std::get_if<presence>(&message.value())) {
+                roster_.receive(now_, *entry);
             }
             return;
         }
@@ -66,13 +68,28 @@
     if (now_ >= next_hello_) {
         next_hello_ = now_ + options_.hello_interval;
         send_hellos();
+        next_member_change_ = now_;
+    }
+    if (now_ >= next_member_change_) {
+        next_member_change_ =
+            options_.admits_members ? now_ + options_.member_interval : absl::InfiniteFuture();
         keep_members();
     }
     tick_controller();
     drop_late_proposals();
+    drop_late_calls();
+    answer_reads();
     continue_stop();
 }
 
+void node::impl::on(event::peers_changed& it)
+{
+    options_.peers = std::move(it.peers);
+    log(telemetry::severity::info,
+        "peers changed",
+        {{"peers", static_cast<std::int64_t>(options_.peers.size())}});
+}
+
 void node::impl::on(event::stop&)
 {
     if (stopping_) {
@@ -96,8 +113,8 @@
         take_report(it, false);
         return;
     }
-    const auto response =
-        sync_clients::make_response(state_, it.in_force, leader(), false);
+    auto response = sync_clients::make_response(state_, it.in_force, leader(), false);
+    complete(response, it);
     out_.emplace_back(action::send_frame{
         from.internal,
         net::frame{net::channel::control, wire::encode(message(response))}});
@@ -120,8 +137,9 @@
     const bool answers =
         !is_relayed || (confirmed && confirmations_.wants_answer(it.entry.id));
     if (answers) {
-        const auto response =
+        auto response =
             sync_clients::make_response(state_, it.in_force, leader(), confirmed);
+        complete(response, it);
         out_.emplace_back(action::send_frame{
             it.entry.internal,
             net::frame{net::channel::control, wire::encode(message(response))}});
@@ -131,6 +149,13 @@
 void node::impl::receive(const net::peer& from, const group_hello& it)
 {
     directory_.receive(now_, from, it);
+    if (!options_.admits_members) {
+        return;
+    }
+    named_[from.internal] = now_;
+    for (const auto& endpoint : it.known) {
+        named_[endpoint] = now_;
+    }
 }
 
 void node::impl::receive(const net::peer&, const relayed_report& it)
@@ -140,7 +165,9 @@
 
 void node::impl::send_hellos()
 {
-    for (const auto& peer : options_.peers) {
+    const auto known_to_all = options_.admits_members ? member_endpoints()
+                                                      : std::vector<core::endpoint>();
+    for (const auto& peer : known_instances()) {
         const auto* known = directory_.at(peer);
         group_hello it;
         it.identity = options_.identity;
@@ -155,28 +182,37 @@
         if (known != nullptr) {
             it.echo = known->clock;
         }
+        it.known = known_to_all;
         out_.emplace_back(action::send_frame{
             peer, net::frame{net::channel::group, wire::encode(group_message(it))}});
     }
 }
 
 /// A known instance that comes back with another identity has lost its disk. It joins as
-/// a learner and replaces its old identity once it has caught up.
+/// a learner and replaces its old identity once it has caught up. With `admits_members`,
+/// so does one with a new name, which replaces nobody.
 void node::impl::keep_members()
 {
     if (!is_leader()) {
         return;
     }
+    if (options_.admits_members) {
+        remove_silent_voter();
+    }
     for (const auto& [internal, it] : directory_.instances()) {
         const auto& members = replica_->members();
         const bool is_present = now_ - it.heard < 4 * options_.hello_interval;
-        if (!is_present || members.is_voter(it.identity) ||
-            members.find_voter(it.id) == nullptr) {
+        // Founders know of each other only where they listen, so that is the name.
+        const auto name =
+            options_.admits_members ? core::instance_id(internal.str()) : it.id;
+        const bool is_known =
+            options_.admits_members || members.find_voter(name) != nullptr;
+        if (!is_present || members.is_voter(it.identity) || !is_known) {
             continue;
         }
         const auto* learner = members.find(it.identity);
         const consensus::member joining{
-            it.identity, it.id, internal, consensus::member_role::learner};
+            it.identity, name, internal, consensus::member_role::learner};
         const auto change =
             learner == nullptr ? consensus::member_change(consensus::add_learner{joining})
                                : consensus::promote_learner{it.identity};
@@ -191,6 +227,97 @@
     }
 }
 
+/// A voter that is gone for good would count in each majority for ever. Three voters stay,
+/// so that the loss of one is still borne.
+void node::impl::remove_silent_voter()
+{
+    constexpr std::size_t least_voters = 3;
+    const auto last_contact = [&](const consensus::member& it) {
+        return it.id == options_.identity
+                   ? now_
+                   : std::max(
+                         replica_->last_contact(it.id).value_or(absl::InfinitePast()),
+                         leader_since_);
+    };
+    std::size_t present = 0;
+    const consensus::member* silent = nullptr;
+    for (const auto& it : replica_->members().members()) {
+        if (it.role != consensus::member_role::voter) {
+            continue;
+        }
+        const auto age = now_ - last_contact(it);
+        present += age < absl::Seconds(1) ? 1 : 0;
+        if (age >= options_.silent_voter_timeout) {
+            silent = &it;
+        }
+    }
+    if (silent == nullptr || present < least_voters) {
+        return;
+    }
+    const consensus::member removed = *silent;
+    if (replica_->change_members(now_, consensus::remove_member{removed.id})) {
+        log(telemetry::severity::warning,
+            "removing silent voter",
+            {{"id", removed.name.str()}, {"identity", removed.id.str()}});
+    }
+}
+
+std::vector<core::endpoint> node::impl::member_endpoints() const
+{
+    std::vector<core::endpoint> result;
+    for (const auto& it : replica_->members().members()) {
+        result.push_back(it.internal);
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+/// All instances to greet: those of the settings, the members, and with `admits_members`
+/// those that others named recently.
+std::vector<core::endpoint> node::impl::known_instances() const
+{
+    constexpr absl::Duration memory = absl::Seconds(60);
+    auto result = options_.peers;
+    if (options_.admits_members) {
+        const auto members = member_endpoints();
+        result.insert(result.end(), members.begin(), members.end());
+        for (const auto& [endpoint, when] : named_) {
+            if (now_ - when < memory) {
+                result.push_back(endpoint);
+            }
+        }
+        std::sort(result.begin(), result.end());
+        result.erase(std::unique(result.begin(), result.end()), result.end());
+        std::erase(result, options_.internal);
+    }
+    return result;
+}
+
+/// Since a leader with a majority was in touch with this instance.
+absl::Duration node::impl::state_age() const
+{
+    constexpr absl::Duration longest = absl::Hours(1);
+    absl::Time since = absl::InfinitePast();
+    if (is_leader()) {
+        since = majority_contact();
+    } else if (!replica_->leader().empty() && replica_->synchronized()) {
+        since =
+            replica_->last_contact(replica_->leader()).value_or(absl::InfinitePast());
+    }
+    return std::min(now_ - since, longest);
+}
+
+void node::impl::complete(sync_response& it, const sync_request& to) const
+{
+    it.age = state_age();
+    if (options_.admits_members) {
+        it.control = member_endpoints();
+        if (control_hash_of(it.control) == to.control_hash) {
+            it.control.clear();
+        }
+    }
+}
+
 // The replica.
 
 void node::impl::run_replica()
@@ -220,7 +347,12 @@
     }
     const auto result =
         state_.apply(core::revision(it.entry.index.value()), decoded.value());
-    conclude(it.entry.index, it.entry.term, result);
+    if (!conclude_call(it.entry.index, it.entry.term, result)) {
+        conclude(it.entry.index, it.entry.term, result);
+    }
+    if (is_leader()) {
+        continue_documents();
+    }
 }
 
 void node::impl::run(consensus::restore_snapshot& it)
@@ -242,7 +374,9 @@
     if (it.role == consensus::role::leader) {
         controller_.emplace(options_.controller, assign::rendezvous(), now_);
         confirmations_ = {};
+        leader_since_ = now_;
     } else {
+        abandon_calls();
         controller_.reset();
         for (const auto& [index, proposal] : pending_) {
             respond(proposal.request, unknown_answer(true, "the leader has changed"));
--- /dev/null
+++ b/src/control/node_calls.cpp
@@ -0,0 +1,252 @@
+#include "control/node_impl_priv.hpp"
+
+#include "cuminpitch/core/hash.hpp"
+#include "cuminpitch/wire/control_codec.hpp"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+namespace cuminpitch::control {
+namespace {
+
+/// The operations that turn the settings of a team into `wanted`.
+std::vector<operation> difference(
+    const settings_tree& present, const core::team_id& team, const settings_tree& wanted)
+{
+    const std::string prefix = "teams/" + team.str() + "/";
+    std::vector<operation> result;
+    for (auto it = present.lower_bound(prefix);
+         it != present.end() && absl::StartsWith(it->first, prefix);
+         ++it) {
+        if (!wanted.contains(it->first)) {
+            result.push_back({it->first, std::nullopt});
+        }
+    }
+    for (const auto& [path, value] : wanted) {
+        const auto known = present.find(path);
+        if (known == present.end() || known->second != value) {
+            result.push_back({path, value});
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+void node::impl::on(api_call& it)
+{
+    std::visit([&](auto& what) { take(what); }, it);
+}
+
+void node::impl::answer(core::request_id id, api_answer it)
+{
+    out_.emplace_back(action::answer_call{id, std::move(it)});
+}
+
+void node::impl::answer_elsewhere(core::request_id id)
+{
+    if (const auto to = leader_http(); to && !is_leader()) {
+        answer(id, call_result::ask_leader{*to});
+    } else {
+        answer(id, call_result::unavailable{"no leader is known"});
+    }
+}
+
+// Documents.
+
+void node::impl::take(call::declare& it)
+{
+    if (!is_leader() || !replica_->synchronized()) {
+        answer_elsewhere(it.id);
+        return;
+    }
+    documents_.push_back({std::move(it), now_ + options_.call_timeout});
+    continue_documents();
+}
+
+/// One document at a time is in the log, since its operations are the difference to the
+/// one before.
+void node::impl::continue_documents()
+{
+    const bool is_busy = std::any_of(calls_.begin(), calls_.end(), [](const auto& it) {
+        return it.second.document.has_value();
+    });
+    if (is_busy) {
+        return;
+    }
+    while (!documents_.empty()) {
+        auto next = std::move(documents_.front());
+        documents_.pop_front();
+        if (next.call.document.number <= state_.contents().document.number) {
+            answer(next.call.id, call_result::accepted{});
+            continue;
+        }
+        propose_document(std::move(next.call), next.deadline);
+        return;
+    }
+}
+
+void node::impl::propose_document(call::declare it, absl::Time deadline)
+{
+    change made;
+    made.base_revision = state_.revision();
+    made.id = core::change_id(absl::StrCat(
+        "document-",
+        it.document.number,
+        "-",
+        absl::Hex(core::hash64(it.document.source)),
+        "-",
+        made.base_revision.value()));
+    made.operations = difference(state_.contents().settings, it.team, it.settings);
+    made.document = it.document;
+    const auto proposed = replica_->propose(now_, wire::encode(command(made)));
+    if (!proposed) {
+        answer(it.id, call_result::unavailable{proposed.error().message()});
+        return;
+    }
+    const auto id = it.id;
+    calls_[proposed.value().index] = {
+        id, proposed.value().term, deadline, false, std::move(it)};
+}
+
+bool node::impl::conclude_call(
+    core::log_index index, core::term term, const outcome& it)
+{
+    const auto found = calls_.find(index);
+    if (found == calls_.end()) {
+        return false;
+    }
+    auto concluded = std::move(found->second);
+    calls_.erase(found);
+    if (concluded.answered) {
+        return true;
+    }
+    if (concluded.term != term) {
+        answer(
+            concluded.request,
+            call_result::unavailable{"another leader's entry took its place"});
+    } else if (const auto* wrong = std::get_if<invalid>(&it)) {
+        answer(concluded.request, call_result::invalid_declarations{wrong->problems});
+    } else if (std::holds_alternative<conflict>(it)) {
+        // Another operator's change came between.
+        documents_.push_front({std::move(*concluded.document), concluded.deadline});
+    } else {
+        answer(concluded.request, call_result::accepted{});
+    }
+    return true;
+}
+
+void node::impl::take(call::read_document& it)
+{
+    if (!is_leader() || !replica_->synchronized()) {
+        answer_elsewhere(it.id);
+        return;
+    }
+    reads_.push_back({it.id, now_});
+}
+
+/// A leader may have been replaced without noticing, so a read waits until a majority has
+/// answered a heartbeat that was sent after the read arrived.
+void node::impl::answer_reads()
+{
+    if (reads_.empty()) {
+        return;
+    }
+    const absl::Time confirmed =
+        is_leader() && replica_->synchronized() ? majority_contact() : absl::InfinitePast();
+    while (!reads_.empty()) {
+        const auto& next = reads_.front();
+        if (next.asked <= confirmed) {
+            answer(next.request, call_result::newest_document{state_.contents().document});
+        } else if (!is_leader() || now_ >= next.asked + options_.call_timeout) {
+            answer(next.request, call_result::unavailable{"no majority confirmed the state"});
+        } else {
+            return;
+        }
+        reads_.pop_front();
+    }
+}
+
+// Backend servers.
+
+void node::impl::take(call::announce& it)
+{
+    auto& server = it.server.announcement;
+    const auto& known = state_.contents().servers;
+    if (server.state == upstream::availability::gone && server.incarnation == 0) {
+        if (const auto found = known.find(server.server); found != known.end()) {
+            server.incarnation = found->second.announcement.incarnation;
+        }
+    }
+    if (effect_of(known, it.server) != announcement_effect::changes) {
+        answer(it.id, call_result::accepted{});
+        return;
+    }
+    if (!is_leader() || !replica_->synchronized()) {
+        answer_elsewhere(it.id);
+        return;
+    }
+    const auto proposed =
+        replica_->propose(now_, wire::encode(command(server_announced{it.server})));
+    if (!proposed) {
+        answer(it.id, call_result::unavailable{proposed.error().message()});
+        return;
+    }
+    log(telemetry::severity::info,
+        "server announced",
+        {{"server", server.server.str()},
+         {"pool", it.server.pool.str()},
+         {"address", server.address.str()},
+         {"state", static_cast<std::int64_t>(server.state)},
+         {"incarnation", static_cast<std::int64_t>(server.incarnation)},
+         {"sequence", static_cast<std::int64_t>(server.sequence)}});
+    calls_[proposed.value().index] = {
+        it.id, proposed.value().term, now_ + options_.call_timeout, false, {}};
+}
+
+// Entries.
+
+void node::impl::take(call::list_entries& it)
+{
+    auto records = roster_.choose(
+        now_, it.caller_domain, options_.entries_per_answer, options_.presence_timeout);
+    if (records.empty()) {
+        answer(it.id, call_result::unavailable{"no entry is ready"});
+        return;
+    }
+    answer(it.id, call_result::entries{std::move(records)});
+}
+
+// Ends without an outcome.
+
+void node::impl::drop_late_calls()
+{
+    for (auto& [index, it] : calls_) {
+        if (!it.answered && now_ >= it.deadline) {
+            it.answered = true;
+            answer(it.request, call_result::unavailable{"no majority answered in time"});
+        }
+    }
+    while (!documents_.empty() && now_ >= documents_.front().deadline) {
+        answer(
+            documents_.front().call.id,
+            call_result::unavailable{"an earlier document is not decided"});
+        documents_.pop_front();
+    }
+}
+
+void node::impl::abandon_calls()
+{
+    for (const auto& [index, it] : calls_) {
+        if (!it.answered) {
+            answer(it.request, call_result::unavailable{"the leader has changed"});
+        }
+    }
+    calls_.clear();
+    for (const auto& it : documents_) {
+        answer(it.call.id, call_result::unavailable{"the leader has changed"});
+    }
+    documents_.clear();
+}
+
+} // namespace cuminpitch::control
--- a/src/control/node_impl_priv.hpp
+++ b/src/control/node_impl_priv.hpp
@@ -2,6 +2,7 @@
 
 #include "cuminpitch/control/node.hpp"
 
+#include "control/entry_roster_priv.hpp"
 #include "control/group_directory_priv.hpp"
 #include "control/operator_api_priv.hpp"
 #include "control/sync_clients_priv.hpp"
@@ -9,6 +10,7 @@
 
 #include <absl/container/btree_map.h>
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -50,6 +52,22 @@
     void on(event::frame_received& it);
     void on(event::tick&);
     void on(event::stop&);
+    void on(event::peers_changed& it);
+    void on(api_call& it);
+
+    // API calls, in node_calls.cpp.
+    void take(call::declare& it);
+    void take(call::read_document& it);
+    void take(call::announce& it);
+    void take(call::list_entries& it);
+    void continue_documents();
+    void propose_document(call::declare it, absl::Time deadline);
+    bool conclude_call(core::log_index index, core::term term, const outcome& it);
+    void answer_reads();
+    void drop_late_calls();
+    void abandon_calls();
+    void answer_elsewhere(core::request_id id);
+    void answer(core::request_id id, api_answer it);
 
     void receive_report(const net::peer& from, const sync_request& it);
     void receive(const net::peer& from, const group_hello& it);
@@ -57,6 +75,11 @@
     void take_report(const sync_request& it, bool is_relayed);
     void send_hellos();
     void keep_members();
+    void remove_silent_voter();
+    std::vector<core::endpoint> known_instances() const;
+    std::vector<core::endpoint> member_endpoints() const;
+    absl::Duration state_age() const;
+    void complete(sync_response& it, const sync_request& to) const;
 
     void run_replica();
     void run(consensus::apply_entry& it);
@@ -111,6 +134,33 @@
     };
     absl::btree_map<core::log_index, pending_proposal> pending_;
 
+    struct waiting_document
+    {
+        call::declare call;
+        absl::Time deadline;
+    };
+    struct pending_call
+    {
+        core::request_id request;
+        core::term term;
+        absl::Time deadline;
+        bool answered = false;
+        std::optional<call::declare> document;
+    };
+    struct pending_read
+    {
+        core::request_id request;
+        absl::Time asked;
+    };
+    std::deque<waiting_document> documents_;
+    absl::btree_map<core::log_index, pending_call> calls_;
+    std::deque<pending_read> reads_;
+    entry_roster roster_;
+    absl::Time leader_since_ = absl::InfiniteFuture();
+    absl::Time next_member_change_ = absl::InfinitePast();
+    /// Instances that others named, with the time.
+    absl::btree_map<core::endpoint, absl::Time> named_;
+
     absl::Time now_;
     std::vector<node_action> out_;
     absl::Time next_hello_ = absl::InfinitePast();
--- a/src/control/view_builder_priv.hpp
+++ b/src/control/view_builder_priv.hpp
@@ -8,9 +8,23 @@
 
 namespace cuminpitch::control {
 
+inline std::shared_ptr<const pool_servers> present_servers(const server_records& all)
+{
+    auto result = std::make_shared<pool_servers>();
+    for (const auto& [id, it] : all) {
+        if (it.announcement.state != upstream::availability::gone) {
+            (*result)[it.pool].push_back(it);
+        }
+    }
+    return result;
+}
+
+/// `servers` may be those of an earlier view if none has changed since; null makes them
+/// anew.
 inline fleet_view_ptr build_view(
     const fleet_contents& contents,
-    std::shared_ptr<const config::declarations> declarations)
+    std::shared_ptr<const config::declarations> declarations,
+    std::shared_ptr<const pool_servers> servers = nullptr)
 {
     auto result = std::make_shared<fleet_view>();
     result->revision = contents.revision;
@@ -19,6 +33,8 @@
         result->entries.emplace_hint(result->entries.end(), id, member.record);
     }
     result->assignments = contents.assignments;
+    result->servers = servers ? std::move(servers) : present_servers(contents.servers);
+    result->document_number = contents.document.number;
     return result;
 }
 
--- a/src/control/view_replica.cpp
+++ b/src/control/view_replica.cpp
@@ -37,8 +37,13 @@
             contents_ = std::make_shared<fleet_contents>(*contents_);
         }
         for (const auto& command : it.commands) {
-            if (command.revision > contents_->revision &&
-                apply_effect(*contents_, command)) {
+            if (command.revision <= contents_->revision) {
+                continue;
+            }
+            if (std::holds_alternative<server_announced>(command.command)) {
+                servers_changed_ = true;
+            }
+            if (apply_effect(*contents_, command)) {
                 stale_ = true;
                 add_paths(std::get<change>(command.command), changed_);
             }
@@ -53,6 +58,7 @@
         }
         contents_ = std::make_shared<fleet_contents>(*it);
         stale_ = true;
+        servers_changed_ = true;
         is_base_known_ = false;
         return put_in_force();
     }
@@ -71,7 +77,11 @@
             is_base_known_ = true;
             changed_.clear();
         }
-        view_ = build_view(*contents_, std::move(declarations));
+        view_ = build_view(
+            *contents_,
+            std::move(declarations),
+            servers_changed_ ? nullptr : view_->servers);
+        servers_changed_ = false;
         return true;
     }
 
@@ -80,6 +90,8 @@
     fleet_view_ptr view_;
     // Whether the settings in contents_ differ from those that the view was compiled of.
     bool stale_ = false;
+    // Whether the servers in contents_ differ from those of the view.
+    bool servers_changed_ = false;
     // Paths that changed since then, and whether they are all.
     std::vector<std::string> changed_;
     bool is_base_known_ = true;
--- a/src/core/process_settings.cpp
+++ b/src/core/process_settings.cpp
@@ -10,6 +10,20 @@
 // A group has 3 or 5 control instances; while one is replaced it has one more.
 constexpr std::size_t max_control_instances = 6;
 constexpr std::size_t max_entry_peers = 64;
+constexpr std::size_t max_seeds = 64;
+const std::vector<std::string> truth_values = {"false", "true"};
+constexpr std::uint32_t max_entries_per_answer = 64;
+
+/// An endpoint that may be left out.
+setting_type<std::vector<endpoint>> optional_endpoint_setting()
+{
+    return endpoint_list_setting(0, 1);
+}
+
+std::optional<endpoint> first_of(const std::vector<endpoint>& list)
+{
+    return list.empty() ? std::nullopt : std::optional(list.front());
+}
 const std::vector<std::string> log_levels = {"debug", "info", "warning", "error"};
 
 telemetry::severity severity_of(const std::string& level)
@@ -105,10 +119,44 @@
         endpoint_list_setting(0, max_control_instances - 1),
         it.peers,
         "");
+    std::string form_group;
+    std::vector<endpoint> directory;
+    parser.add(
+        "seeds",
+        "Internal endpoints of some control instances, in place of --peers",
+        endpoint_list_setting(0, max_seeds),
+        it.seeds,
+        "");
+    parser.add(
+        "form-group",
+        "The seeds form the group at the first start of the fleet",
+        choice_setting(truth_values),
+        form_group,
+        "false");
+    parser.add(
+        "directory",
+        "HTTP address for callers that ask which entries to use",
+        optional_endpoint_setting(),
+        directory,
+        "");
+    parser.add(
+        "entries-per-answer",
+        "Entries named to a caller at most",
+        count_setting(1, max_entries_per_answer),
+        it.entries_per_answer,
+        "3");
     if (auto ended = parser.parse(argc, argv)) {
         return *ended;
     }
+    it.form_group = form_group == "true";
+    it.directory = first_of(directory);
     take_common(texts, it);
+    if (!it.seeds.empty() && !it.peers.empty()) {
+        return bad_setting("seeds", join(it.seeds), "either --seeds or --peers");
+    }
+    if (it.form_group && it.seeds.empty()) {
+        return bad_setting("form-group", form_group, "only with --seeds");
+    }
     if (auto ended = contradiction(it, "peers", it.peers)) {
         return *ended;
     }
@@ -125,8 +173,36 @@
     parser.add(
         "control",
         "Internal endpoints of the control instances",
-        endpoint_list_setting(1, max_control_instances),
-        it.control);
+        endpoint_list_setting(0, max_control_instances),
+        it.control,
+        "");
+    std::vector<endpoint> readiness;
+    parser.add(
+        "seeds",
+        "Internal endpoints of some control instances, in place of --control",
+        endpoint_list_setting(0, max_seeds),
+        it.seeds,
+        "");
+    parser.add(
+        "readiness",
+        "HTTP address at which the entry says whether callers may connect",
+        optional_endpoint_setting(),
+        readiness,
+        "");
+    parser.add(
+        "isolation-timeout",
+        "Time without contact to the fleet after which requests are refused",
+        duration_setting(absl::Seconds(1), absl::Hours(24)),
+        it.isolation_timeout,
+        "5s");
+    absl::Duration stop_limit;
+    parser.add(
+        "stop-grace",
+        "Time from the signal to stop to the end of the process at most; 0s: as long as "
+        "callers keep an answer and requests run",
+        duration_setting(absl::ZeroDuration(), absl::Hours(1)),
+        stop_limit,
+        "0s");
     parser.add(
         "peers",
         "Internal endpoints of entries to ask while control can't be reached at the "
@@ -138,6 +214,13 @@
         return *ended;
     }
     take_common(texts, it);
+    it.readiness = first_of(readiness);
+    if (stop_limit > absl::ZeroDuration()) {
+        it.stop_grace = stop_limit;
+    }
+    if (it.control.empty() == it.seeds.empty()) {
+        return bad_setting("control", join(it.control), "either --control or --seeds");
+    }
     if (auto ended = contradiction(it, "control", it.control)) {
         return *ended;
     }
--- a/src/core/setting_parser.cpp
+++ b/src/core/setting_parser.cpp
@@ -3,6 +3,7 @@
 #include <CLI/CLI.hpp>
 #include <absl/strings/ascii.h>
 #include <absl/strings/escaping.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_replace.h>
@@ -127,6 +128,19 @@
         }};
 }
 
+setting_type<std::uint32_t> count_setting(std::uint32_t min, std::uint32_t max)
+{
+    return {
+        absl::StrCat("a whole number from ", min, " to ", max),
+        [min, max](const std::string& text) -> std::optional<std::uint32_t> {
+            std::uint32_t it = 0;
+            if (!absl::SimpleAtoi(text, &it) || it < min || it > max) {
+                return std::nullopt;
+            }
+            return it;
+        }};
+}
+
 setting_type<std::string> writable_folder_setting()
 {
     return {
--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -3,6 +3,7 @@
 #include "cuminpitch/consensus/file_storage.hpp"
 #include "cuminpitch/control/declared_settings.hpp"
 #include "cuminpitch/control/node.hpp"
+#include "cuminpitch/core/hash.hpp"
 #include "cuminpitch/http/server.hpp"
 #include "cuminpitch/net/tcp_transport.hpp"
 #include "cuminpitch/telemetry/log.hpp"
@@ -10,10 +11,11 @@
 #include "daemon/clock_priv.hpp"
 #include "daemon/fault_injection_priv.hpp"
 #include "daemon/listeners_priv.hpp"
-#include "daemon/stop_signal_priv.hpp"
+#include "daemon/signal_inbox_priv.hpp"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
+#include <absl/strings/str_cat.h>
 #include <absl/synchronization/mutex.h>
 #include <absl/time/clock.h>
 
@@ -32,9 +34,11 @@
 public:
     control_daemon(
         const core::control_settings& settings,
+        const control_extras& extras,
         std::unique_ptr<consensus::file_storage> storage,
         core::random_source random)
-        : settings_(settings), storage_(std::move(storage)), random_(random)
+        : settings_(settings), extras_(extras), storage_(std::move(storage)),
+          random_(random)
     {
     }
 
@@ -48,7 +52,8 @@
     void receive(http::request message, std::shared_ptr<http::exchange> exchange);
     void put(control::node_event it);
     inbox take_inbox();
-    bool handle_batch(stop_signal& stop);
+    bool handle_batch(signal_inbox& signals);
+    void check_seeds(bool is_asked, inbox& events);
 
     // Each returns false if the process must end.
     bool run(consensus::write_hard_state& it) { return check(storage_->write(it)); }
@@ -56,13 +61,18 @@
     bool run(consensus::write_snapshot& it) { return check(storage_->write(it)); }
     bool run(consensus::sync_writes&) { return check(storage_->sync()); }
     bool run(control::action::respond& it);
+    bool run(control::action::answer_call& it);
     bool run(control::action::send_frame& it);
     bool run(control::action::form_group& it);
     bool run(control::action::write_log& it);
     bool run(control::action::exit&);
     static bool check(const core::result<void>& it);
+    struct open_exchange;
+    std::optional<open_exchange> take_exchange(core::request_id id);
 
     const core::control_settings& settings_;
+    const control_extras& extras_;
+    absl::Time next_seed_check_ = absl::InfinitePast();
     std::unique_ptr<consensus::file_storage> storage_;
     core::random_source random_;
     telemetry::metrics metrics_;
@@ -73,17 +83,23 @@
     absl::Mutex mutex_;
     inbox inbox_ ABSL_GUARDED_BY(mutex_);
     std::uint64_t last_request_ ABSL_GUARDED_BY(mutex_) = 0;
-    absl::flat_hash_map<core::request_id, std::shared_ptr<http::exchange>>
+    struct open_exchange
+    {
+        std::shared_ptr<http::exchange> exchange;
+        std::shared_ptr<const http::request> message;
+    };
+    absl::flat_hash_map<core::request_id, open_exchange>
         exchanges_ ABSL_GUARDED_BY(mutex_);
 
     std::unique_ptr<net::tcp_transport> transport_;
     fault_injection faults_ ABSL_GUARDED_BY(mutex_);
     std::unique_ptr<http::server> server_;
+    std::unique_ptr<http::server> directory_server_; ///< Null without such an address.
 };
 
 int control_daemon::run()
 {
-    stop_signal stop;
+    signal_inbox signals;
     if (!load_node() || !open()) {
         return 1;
     }
@@ -94,11 +110,14 @@
          {"identity", storage_->identity().str()},
          {"http", settings_.http.str()}});
     while (!finished_) {
-        if (!handle_batch(stop)) {
+        if (!handle_batch(signals)) {
             return 1;
         }
     }
     server_->stop_listening();
+    if (directory_server_) {
+        directory_server_->stop_listening();
+    }
     const absl::Time end = monotonic_now() + absl::Seconds(2);
     while (server_->in_flight() > 0 && monotonic_now() < end) {
         absl::SleepFor(tick_interval);
@@ -123,7 +142,10 @@
     options.http = settings_.http;
     options.internal = settings_.internal;
     options.failure_domain = settings_.failure_domain;
-    options.peers = settings_.peers;
+    options.peers = settings_.seeds.empty() ? settings_.peers : settings_.seeds;
+    std::erase(options.peers, settings_.internal);
+    options.admits_members = !settings_.seeds.empty();
+    options.entries_per_answer = settings_.entries_per_answer;
     const core::random_source seed(random_());
     node_ = control::node::make(
         std::move(options),
@@ -155,6 +177,14 @@
         [this](http::request it, std::shared_ptr<http::exchange> exchange) {
             receive(std::move(it), std::move(exchange));
         });
+    if (server_ != nullptr && settings_.directory) {
+        directory_server_ = open_server(
+            *settings_.directory,
+            [this](http::request it, std::shared_ptr<http::exchange> exchange) {
+                receive(std::move(it), std::move(exchange));
+            });
+        return directory_server_ != nullptr;
+    }
     return server_ != nullptr;
 }
 
@@ -166,16 +196,39 @@
         exchange->respond(faults_.apply(message.body, *transport_));
         return;
     }
+    const auto shared = std::make_shared<const http::request>(std::move(message));
     core::request_id id;
     {
         const absl::MutexLock lock(&mutex_);
         id = core::request_id(++last_request_);
-        exchanges_[id] = std::move(exchange);
+        exchanges_[id] = {exchange, shared};
+    }
+    if (extras_.api != nullptr) {
+        auto decoded = extras_.api->decode(id, *shared);
+        if (auto* call = std::get_if<control::api_call>(&decoded)) {
+            put(std::move(*call));
+            return;
+        }
+        if (auto* refused = std::get_if<http::response>(&decoded)) {
+            static_cast<void>(take_exchange(id));
+            exchange->respond(std::move(*refused));
+            return;
+        }
+    }
+    put(control::event::operator_request{id, shared, absl::ToUnixMillis(absl::Now())});
+}
+
+std::optional<control_daemon::open_exchange>
+control_daemon::take_exchange(core::request_id id)
+{
+    const absl::MutexLock lock(&mutex_);
+    const auto found = exchanges_.find(id);
+    if (found == exchanges_.end()) {
+        return std::nullopt;
     }
-    put(control::event::operator_request{
-        id,
-        std::make_shared<const http::request>(std::move(message)),
-        absl::ToUnixMillis(absl::Now())});
+    auto out = std::move(found->second);
+    exchanges_.erase(found);
+    return out;
 }
 
 void control_daemon::put(control::node_event it)
@@ -199,13 +252,32 @@
     return std::exchange(inbox_, {});
 }
 
-bool control_daemon::handle_batch(stop_signal& stop)
+/// Looks for other seeds in the settings, after a signal and from time to time.
+void control_daemon::check_seeds(bool is_asked, inbox& events)
+{
+    const absl::Time now = monotonic_now();
+    if (!extras_.seeds || (!is_asked && now < next_seed_check_)) {
+        return;
+    }
+    next_seed_check_ = now + settings_check_interval;
+    if (auto seeds = extras_.seeds()) {
+        std::erase(*seeds, settings_.internal);
+        events.emplace_back(control::event::peers_changed{std::move(*seeds)});
+    }
+}
+
+bool control_daemon::handle_batch(signal_inbox& signals)
 {
     inbox events = take_inbox();
-    if (!stopping_ && stop.wait(absl::ZeroDuration())) {
+    const auto signal = signals.wait(absl::ZeroDuration());
+    if (!stopping_ && signal == process_signal::stop) {
         stopping_ = true;
         events.emplace_back(control::event::stop{});
     }
+    if (signal == process_signal::reload) {
+        telemetry::log(telemetry::severity::info, "reload", {{"id", settings_.id.str()}});
+    }
+    check_seeds(signal == process_signal::reload, events);
     for (auto& it : events) {
         node_->handle(monotonic_now(), std::move(it));
     }
@@ -220,17 +292,17 @@
 
 bool control_daemon::run(control::action::respond& it)
 {
-    std::shared_ptr<http::exchange> exchange;
-    {
-        const absl::MutexLock lock(&mutex_);
-        const auto found = exchanges_.find(it.id);
-        if (found == exchanges_.end()) {
-            return true;
-        }
-        exchange = std::move(found->second);
-        exchanges_.erase(found);
+    if (const auto open = take_exchange(it.id)) {
+        open->exchange->respond(std::move(it.response));
+    }
+    return true;
+}
+
+bool control_daemon::run(control::action::answer_call& it)
+{
+    if (const auto open = take_exchange(it.id)) {
+        open->exchange->respond(extras_.api->encode(it.answer, *open->message));
     }
-    exchange->respond(std::move(it.response));
     return true;
 }
 
@@ -276,14 +348,48 @@
     return static_cast<bool>(it);
 }
 
+/// Identity of a founder's data folder: the founders know each other's before they met.
+consensus::member_id founder_identity(const core::endpoint& internal)
+{
+    const std::string name = internal.str();
+    return consensus::member_id(absl::StrCat(
+        absl::Hex(core::hash64(name), absl::kZeroPad16),
+        absl::Hex(core::hash64(name, 1), absl::kZeroPad16)));
+}
+
+/// At the first start of a fleet each seed forms the same group. A seed that comes back
+/// with an empty data folder is told not to, and joins the group of the others instead.
+bool founds_group(const core::control_settings& settings)
+{
+    const auto& seeds = settings.seeds;
+    return settings.form_group &&
+           std::find(seeds.begin(), seeds.end(), settings.internal) != seeds.end();
+}
+
+core::result<void>
+found_group(const core::control_settings& settings, consensus::storage& storage)
+{
+    std::vector<consensus::member> voters;
+    for (const auto& seed : settings.seeds) {
+        const auto identity = founder_identity(seed);
+        // The name is not known yet; the leader learns it from the member's greeting.
+        voters.push_back({identity, core::instance_id(seed.str()), seed});
+    }
+    return consensus::form_group(storage, consensus::member_set(std::move(voters)));
+}
+
 } // namespace
 
-int run_control(const core::control_settings& settings)
+int run_control(const core::control_settings& settings, const control_extras& extras)
 {
     telemetry::start_log("cuminpitch-control", settings.log_level);
     std::random_device device;
     core::random_source random((std::uint64_t{device()} << 32U) | device());
-    auto storage = consensus::file_storage::open(settings.data_dir, random);
+    const bool founds = founds_group(settings);
+    auto storage = consensus::file_storage::open(
+        settings.data_dir,
+        random,
+        founds ? std::optional(founder_identity(settings.internal)) : std::nullopt);
     if (!storage) {
         telemetry::log(
             telemetry::severity::error,
@@ -291,7 +397,19 @@
             {{"data_dir", settings.data_dir}, {"reason", storage.error().message()}});
         return 1;
     }
-    return control_daemon(settings, std::move(storage).value(), random).run();
+    const bool is_founder =
+        founds && storage.value()->identity() == founder_identity(settings.internal);
+    if (is_founder) {
+        const auto formed = found_group(settings, *storage.value());
+        if (!formed && formed.error() != core::errc::conflict) {
+            telemetry::log(
+                telemetry::severity::error,
+                "group cannot be formed",
+                {{"reason", formed.error().message()}});
+            return 1;
+        }
+    }
+    return control_daemon(settings, extras, std::move(storage).value(), random).run();
 }
 
 } // namespace cuminpitch::daemon
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -8,9 +8,10 @@
 #include "cuminpitch/telemetry/log.hpp"
 #include "cuminpitch/telemetry/metrics.hpp"
 #include "daemon/clock_priv.hpp"
+#include "entry/api_priv.hpp"
 #include "daemon/fault_injection_priv.hpp"
 #include "daemon/listeners_priv.hpp"
-#include "daemon/stop_signal_priv.hpp"
+#include "daemon/signal_inbox_priv.hpp"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
@@ -27,7 +28,14 @@
 /// After the last request, responses may still be on their way to callers.
 constexpr absl::Duration flush_timeout = absl::Seconds(5);
 
-entry::node_options make_options(const core::entry_settings& settings)
+/// A control instance that is cut off from the others is left after this time, so that
+/// with the time to find another one changes are in force within two seconds.
+constexpr absl::Duration stale_state_limit = absl::Milliseconds(700);
+constexpr absl::Duration quick_sync_timeout = absl::Milliseconds(400);
+constexpr absl::Duration presence_interval = absl::Milliseconds(500);
+
+entry::node_options
+make_options(const core::entry_settings& settings, const entry_extras& extras)
 {
     entry::node_options it;
     it.self = {settings.id, settings.http, settings.internal, settings.failure_domain};
@@ -35,6 +43,21 @@
     it.control = settings.control;
     it.peers = settings.peers;
     it.seed = it.incarnation;
+    it.isolation_timeout = settings.isolation_timeout;
+    if (!settings.seeds.empty()) {
+        it.control = settings.seeds;
+        it.stale_state_limit = stale_state_limit;
+        it.sync_timeout = quick_sync_timeout;
+        it.presence_interval = presence_interval;
+    }
+    if (settings.stop_grace) {
+        it.stop_grace = *settings.stop_grace / 2;
+        it.closes_when_stopping = true;
+    }
+    if (extras.api != nullptr) {
+        it.dialect = extras.api->dialect;
+        it.explains = true;
+    }
     return it;
 }
 
@@ -42,9 +65,11 @@
 class entry_daemon
 {
 public:
-    explicit entry_daemon(const core::entry_settings& settings)
-        : settings_(settings),
-          node_(make_options(settings), control::make_compile_function(), metrics_)
+    entry_daemon(const core::entry_settings& settings, const entry_extras& extras)
+        : settings_(settings), extras_(extras), node_(
+                                                    make_options(settings, extras),
+                                                    control::make_compile_function(),
+                                                    metrics_)
     {
     }
 
@@ -56,12 +81,15 @@
     void handle(entry::node_event it);
     void execute(entry::node_action& it) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void wait_for_flush();
+    void answer_readiness(const http::request& message, http::exchange& exchange);
+    void check_seeds(bool is_asked);
 
     void run(entry::action::http_respond& it) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void run(entry::action::start_call& it) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void run(entry::action::cancel_call& it) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void run(entry::action::send_frame& it) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void run(entry::action::write_log& it);
+    void run(entry::action::stop_listening& it);
     void run(entry::action::exit& it);
 
     struct open_exchange
@@ -71,6 +99,8 @@
     };
 
     const core::entry_settings& settings_;
+    const entry_extras& extras_;
+    absl::Time next_seed_check_ = absl::InfinitePast();
     telemetry::metrics metrics_;
     std::atomic<bool> finished_ = false;
 
@@ -88,11 +118,12 @@
     fault_injection faults_ ABSL_GUARDED_BY(mutex_);
     std::unique_ptr<http::client> client_;
     std::unique_ptr<http::server> server_;
+    std::unique_ptr<http::server> readiness_server_; ///< Null without such an address.
 };
 
 int entry_daemon::run()
 {
-    stop_signal stop;
+    signal_inbox signals;
     if (!open()) {
         return 1;
     }
@@ -102,12 +133,16 @@
         {{"id", settings_.id.str()}, {"http", settings_.http.str()}});
     bool stopping = false;
     while (!finished_) {
-        if (stopping) {
-            absl::SleepFor(tick_interval);
-        } else if (stop.wait(tick_interval)) {
+        const auto signal = signals.wait(tick_interval);
+        if (signal == process_signal::stop && !stopping) {
             stopping = true;
             handle(entry::event::stop{});
         }
+        if (signal == process_signal::reload) {
+            telemetry::log(
+                telemetry::severity::info, "reload", {{"id", settings_.id.str()}});
+        }
+        check_seeds(signal == process_signal::reload);
         handle(entry::event::tick{});
     }
     wait_for_flush();
@@ -132,9 +167,46 @@
         [this](http::request it, const std::shared_ptr<http::exchange>& exchange) {
             receive(std::move(it), exchange);
         });
+    if (server_ != nullptr && settings_.readiness) {
+        readiness_server_ = open_server(
+            *settings_.readiness,
+            [this](const http::request& it, const std::shared_ptr<http::exchange>& to) {
+                answer_readiness(it, *to);
+            });
+        return readiness_server_ != nullptr;
+    }
     return server_ != nullptr;
 }
 
+void entry_daemon::answer_readiness(const http::request& message, http::exchange& exchange)
+{
+    constexpr int not_found = 404;
+    constexpr int unavailable = 503;
+    http::response it;
+    if (message.path == entry::metrics_path) {
+        it.headers.set("Content-Type", "text/plain; version=0.0.4");
+        it.body = metrics_.exposition();
+    } else if (extras_.api == nullptr || message.path != extras_.api->readiness_path) {
+        it.status = not_found;
+    } else {
+        const absl::MutexLock lock(&mutex_);
+        it.status = node_.is_ready() ? it.status : unavailable;
+    }
+    exchange.respond(std::move(it));
+}
+
+void entry_daemon::check_seeds(bool is_asked)
+{
+    const absl::Time now = monotonic_now();
+    if (!extras_.seeds || (!is_asked && now < next_seed_check_)) {
+        return;
+    }
+    next_seed_check_ = now + settings_check_interval;
+    if (auto seeds = extras_.seeds()) {
+        handle(entry::event::control_changed{std::move(*seeds)});
+    }
+}
+
 void entry_daemon::receive(
     http::request message, const std::shared_ptr<http::exchange>& exchange)
 {
@@ -214,6 +286,11 @@
     telemetry::log(it.severity, it.event, it.fields);
 }
 
+void entry_daemon::run(entry::action::stop_listening&)
+{
+    server_->stop_listening();
+}
+
 void entry_daemon::run(entry::action::exit&)
 {
     finished_ = true;
@@ -230,10 +307,10 @@
 
 } // namespace
 
-int run_entry(const core::entry_settings& settings)
+int run_entry(const core::entry_settings& settings, const entry_extras& extras)
 {
     telemetry::start_log("cuminpitch-entry", settings.log_level);
-    return entry_daemon(settings).run();
+    return entry_daemon(settings, extras).run();
 }
 
 } // namespace cuminpitch::daemon
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 control_link::control_link(const node_options& options, control::compile_function compile)
-    : options_(options), replica_(std::move(compile)),
+    : options_(options), control_(options.control), replica_(std::move(compile)),
       // Entries start at different control instances, so that these share the load.
       target_(
           core::hash64(options.self.id.str()) %
@@ -31,6 +31,7 @@
     it.incarnation = options_.incarnation;
     it.in_force = replica_.revision();
     it.draining = draining_;
+    it.control_hash = control::control_hash_of(control_);
     for (const auto& [id, heard] : last_heard_) {
         it.contacts.push_back({id, now - heard});
     }
@@ -41,16 +42,16 @@
 {
     std::vector<node_action> out;
     started_ = std::min(started_, now);
-    if (now < next_request_ || options_.control.empty()) {
+    if (now < next_request_ || control_.empty()) {
         return out;
     }
     next_request_ = now + options_.sync_interval;
     if (unanswered_since_ + options_.sync_timeout <= now) {
-        target_ = (target_ + 1) % options_.control.size();
+        ++target_;
         unanswered_since_ = absl::InfiniteFuture();
     }
     unanswered_since_ = std::min(unanswered_since_, now);
-    out.push_back(send_to(options_.control[target_], make_request(now)));
+    out.push_back(send_to(control_[target_ % control_.size()], make_request(now)));
     const bool control_is_away =
         now - std::max(last_answer_, started_) >= options_.peer_start_delay;
     if (control_is_away) {
@@ -105,8 +106,13 @@
     const control::sync_response& it,
     std::vector<node_action>& out)
 {
-    last_answer_ = now;
-    unanswered_since_ = absl::InfiniteFuture();
+    if (!it.control.empty()) {
+        control_ = it.control;
+    }
+    if (it.age <= options_.stale_state_limit) {
+        last_answer_ = now;
+        unanswered_since_ = absl::InfiniteFuture();
+    }
     const auto before = replica_.revision();
     replica_.apply(it.update);
     if (it.confirmed && replica_.revision() >= it.current) {
@@ -148,6 +154,14 @@
     }
 }
 
+/// Instances that were learned stay known: all those of the settings may be down.
+void control_link::set_control(std::vector<core::endpoint> it)
+{
+    control_.insert(control_.end(), it.begin(), it.end());
+    std::sort(control_.begin(), control_.end());
+    control_.erase(std::unique(control_.begin(), control_.end()), control_.end());
+}
+
 absl::Time control_link::last_heard() const
 {
     absl::Time latest = last_answer_;
--- a/src/entry/control_link_priv.hpp
+++ b/src/entry/control_link_priv.hpp
@@ -28,6 +28,12 @@
     on_peer_revision(const core::endpoint& peer, core::revision its_revision);
 
     void set_draining(bool it) { draining_ = it; }
+    /// The settings name other control instances.
+    void set_control(std::vector<core::endpoint> it);
+    /// All control instances known, or those of the settings.
+    const std::vector<core::endpoint>& control() const { return control_; }
+    /// When control last confirmed that the state here is the newest.
+    absl::Time last_answer() const { return last_answer_; }
     /// Something arrived from this instance.
     void heard(absl::Time now, const core::instance_id& from) { last_heard_[from] = now; }
 
@@ -65,8 +71,13 @@
        const net::peer& from,
        const control::state_response& it,
        std::vector<node_action>& out);
+    template <class Other>
+    void on(absl::Time, const net::peer&, const Other&, std::vector<node_action>&)
+    {
+    }
 
     const node_options& options_;
+    std::vector<core::endpoint> control_;
     control::view_replica replica_;
     bool draining_ = false;
     bool confirmed_ = false;
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -1,22 +1,10 @@
-#include "cuminpitch/entry/node.hpp"
+#include "entry/node_impl_priv.hpp"
 
-#include "cuminpitch/core/random.hpp"
-#include "cuminpitch/request/dispatcher.hpp"
-#include "cuminpitch/request/route_table.hpp"
 #include "cuminpitch/wire/control_codec.hpp"
 #include "cuminpitch/wire/pool_codec.hpp"
 #include "entry/api_priv.hpp"
-#include "entry/control_link_priv.hpp"
-#include "entry/entries_query_priv.hpp"
-#include "entry/pool_runtime_priv.hpp"
-#include "entry/status_priv.hpp"
-#include "request/routing_path_priv.hpp"
 
-#include <absl/container/flat_hash_map.h>
-
-#include <algorithm>
 #include <iterator>
-#include <utility>
 
 namespace cuminpitch::entry {
 namespace {
@@ -24,13 +12,6 @@
 /// After the last caller's answer has run out, callers may still be on their way.
 constexpr absl::Duration drain_margin = absl::Seconds(1);
 
-/// How long an assigned entry may take to answer a question passed on to it.
-constexpr absl::Duration query_timeout = absl::Milliseconds(500);
-
-/// Ticks come every 20 ms. After a longer gap, as when the process was frozen, what is
-/// known of servers and leases may have expired and is brought up to date first.
-constexpr absl::Duration refresh_limit = absl::Milliseconds(40);
-
 constexpr absl::Duration probe_timeout = absl::Seconds(1);
 
 health::attempt_kind to_attempt_kind(request::observation::kind it)
@@ -48,135 +29,14 @@
     return health::attempt_kind::none;
 }
 
-struct probe_call
-{
-    core::pool_id pool;
-    core::server_id server;
-};
-
-/// What an HTTP call of this entry is for.
-using call_purpose = std::variant<request::attempt_id, probe_call, entries_query>;
-
 } // namespace
 
-class node::impl
-{
-public:
-    impl(
-        node_options options,
-        control::compile_function compile,
-        telemetry::metrics& metrics)
-        : options_(std::move(options)), metrics_(metrics),
-          link_(options_, std::move(compile)), random_(options_.seed),
-          dispatcher_({}, core::random_source(options_.seed + 1), metrics)
-    {
-    }
-
-    std::vector<node_action> handle(absl::Time now, node_event it)
-    {
-        now_ = now;
-        if (now_ - refreshed_ > refresh_limit) {
-            refresh();
-        }
-        std::visit([&](auto& event) { on(event); }, it);
-        apply_view();
-        return std::exchange(out_, {});
-    }
-
-    core::revision revision() const { return link_.replica().revision(); }
-
-private:
-    // Events.
-    void on(event::http_request& it);
-    void on(event::caller_gone& it) { dispatch(request::caller_gone{it.id}); }
-    void on(event::call_finished& it);
-    void on(event::frame_received& it);
-    void on(event::tick&);
-    void on(event::stop&);
-
-    // Purposes of finished calls.
-    void finish(const request::attempt_id& attempt, http::client_result& result);
-    void finish(const probe_call& probe, http::client_result& result);
-    void finish(entries_query& query, http::client_result& result);
-
-    // Actions of the parts.
-    void run(request::start_attempt& it)
-    {
-        call(it.send.attempt, make_client_request(it.send));
-    }
-    void run(request::forward& it)
-    {
-        call(it.send.attempt, make_client_request(it.send));
-    }
-    void run(request::respond& it) { respond(it.request, std::move(it.response)); }
-    void run(request::refuse& it) { respond(it.request, std::move(it.response)); }
-    void run(request::cancel_attempt& it);
-    void run(request::observe& it);
-    void run(const core::pool_id& pool, health::send_heartbeat& it);
-    void run(const core::pool_id& pool, health::action::start_probe& it);
-    void run(const core::pool_id& pool, health::log_event& it);
-
-    void answer_own(core::request_id id, const http::request& message);
-    void answer_entries(core::request_id id, const http::request& message);
-    void answer_announce(core::request_id id, const http::request& message);
-    std::optional<core::pool_id> pool_asked_for(const http::request& message) const;
-    void ask_next(entries_query query);
-
-    void receive_control(const net::peer& from, const net::frame& it);
-    void receive_pool(const net::peer& from, const net::frame& it);
-
-    void dispatch(request::event it) { run_all(dispatcher_.handle(now_, std::move(it))); }
-    void run_all(std::vector<request::action> actions);
-    void call(call_purpose purpose, http::client_request request);
-    void respond(core::request_id id, http::response it);
-    void add(std::vector<node_action> actions);
-    void
-    log(telemetry::severity severity,
-        std::string event,
-        std::vector<telemetry::field> fields = {});
-
-    void apply_view();
-    void drop_undeclared_pools(const control::fleet_view* previous);
-    /// Whether a pool that this entry does not serve differs between the previous view
-    /// and the current one. Updating all pools of the target size takes longer than the
-    /// rest of a list change.
-    bool is_affected(
-        const control::fleet_view& previous, const config::pool_settings& declared) const;
-    void update_pool(const config::pool_settings& declared);
-    bool is_mine(const core::pool_id& pool) const;
-    void refresh();
-    void tick_pools();
-    void update_condition();
-    bool is_isolated() const;
-
-    node_options options_;
-    telemetry::metrics& metrics_;
-    control_link link_;
-    core::random_source random_;
-    request::dispatcher dispatcher_;
-
-    absl::Time now_;
-    std::vector<node_action> out_;
-    control::fleet_view_ptr view_;
-    pool_map pools_;
-    std::shared_ptr<const request::route_table> routes_;
-
-    std::uint64_t last_call_ = 0;
-    absl::flat_hash_map<call_id, call_purpose> calls_;
-    absl::flat_hash_map<request::attempt_id, call_id> call_of_attempt_;
-
-    absl::Time started_ = absl::InfiniteFuture();
-    absl::Time refreshed_ = absl::InfinitePast();
-    absl::Time refuse_at_ = absl::InfiniteFuture();
-    node_condition condition_;
-    bool exited_ = false;
-};
-
 void node::impl::on(event::http_request& it)
 {
     if (it.message->path.starts_with(own_prefix)) {
         answer_own(it.id, *it.message);
     } else {
+        last_request_ = now_;
         dispatch(request::request_received{it.id, std::move(it.message)});
     }
 }
@@ -238,6 +98,10 @@
         metrics_.add("cuminpitch_malformed_messages_total");
         return;
     }
+    if (const auto* evidence = std::get_if<control::pool_evidence>(&message.value())) {
+        receive_evidence(from, *evidence);
+        return;
+    }
     add(link_.receive(now_, from, message.value()));
 }
 
@@ -259,7 +123,15 @@
     started_ = std::min(started_, now_);
     add(link_.tick(now_));
     refresh();
+    tick_shared_pools();
+    if (now_ >= next_presence_) {
+        send_presence();
+    }
     dispatch(request::tick{});
+    if (condition_.is_refusing && options_.stop_grace && !stopped_listening_) {
+        stopped_listening_ = true;
+        out_.emplace_back(action::stop_listening{});
+    }
     if (condition_.is_refusing && dispatcher_.in_flight() == 0 && !exited_) {
         exited_ = true;
         out_.emplace_back(action::exit{});
@@ -272,64 +144,51 @@
         return;
     }
     condition_.is_draining = true;
-    refuse_at_ = now_ + options_.keep + drain_margin;
+    refuse_at_ = now_ + options_.stop_grace.value_or(options_.keep + drain_margin);
     link_.set_draining(true);
+    if (options_.presence_interval < absl::InfiniteDuration()) {
+        send_presence();
+    }
     for (auto& [id, pool] : pools_) {
         pool->health().set_draining(true);
     }
     log(telemetry::severity::info, "draining");
 }
 
-void node::impl::refresh()
-{
-    refreshed_ = now_;
-    tick_pools();
-    update_condition();
-}
-
-void node::impl::tick_pools()
-{
-    for (auto& [id, pool] : pools_) {
-        pool->health().set_list_confirmed(link_.is_confirmed());
-        auto actions = pool->health().tick(now_);
-        for (auto& it : actions) {
-            std::visit([&, &pool_id = id](auto& what) { run(pool_id, what); }, it);
-        }
-        run_all(dispatcher_.update_pool(now_, pool->update(now_, *view_)));
-    }
-}
-
-void node::impl::update_condition()
+void node::impl::run(request::cancel_attempt& it)
 {
-    const bool was_isolated = condition_.is_isolated;
-    condition_.is_isolated = is_isolated();
-    condition_.is_refusing = now_ >= refuse_at_;
-    condition_.in_flight = dispatcher_.in_flight();
-    dispatcher_.set_entry({condition_.is_isolated, condition_.is_refusing});
-    if (condition_.is_isolated != was_isolated) {
-        log(telemetry::severity::warning,
-            condition_.is_isolated ? "isolated" : "connected");
+    if (const auto found = call_of_attempt_.find(it.attempt);
+        found != call_of_attempt_.end()) {
+        out_.emplace_back(action::cancel_call{found->second});
     }
 }
 
-/// An entry that is alone in the fleet can't tell a fault of its own from one of control.
-bool node::impl::is_isolated() const
+void node::impl::on(event::control_changed& it)
 {
-    const bool has_peers = view_ && view_->entries.size() > 1;
-    return has_peers &&
-           now_ - std::max(link_.last_heard(), started_) >= options_.isolation_timeout;
+    log(telemetry::severity::info,
+        "control instances changed",
+        {{"control", static_cast<std::int64_t>(it.control.size())}});
+    link_.set_control(std::move(it.control));
 }
 
-void node::impl::run(request::cancel_attempt& it)
+void node::impl::run(request::explain& it)
 {
-    if (const auto found = call_of_attempt_.find(it.attempt);
-        found != call_of_attempt_.end()) {
-        out_.emplace_back(action::cancel_call{found->second});
-    }
+    it.inputs.insert(
+        it.inputs.begin(),
+        {{"request", it.correlation.empty() ? std::to_string(it.request.value())
+                                            : std::move(it.correlation)}});
+    log(telemetry::severity::info, std::move(it.what), std::move(it.inputs));
 }
 
 void node::impl::run(request::observe& it)
 {
+    if (const auto pool = shared_pools_.find(it.what.pool); pool != shared_pools_.end()) {
+        pool->second.observe(now_, it.what);
+        if (it.what.what != request::observation::kind::success) {
+            send_shared(it.what.pool);
+        }
+        return;
+    }
     if (const auto pool = pools_.find(it.what.pool); pool != pools_.end()) {
         pool->second->health().observe(
             now_,
@@ -366,112 +225,6 @@
         {{"pool", pool.str()}, {"server", it.server.str()}, {"severity", it.severity}});
 }
 
-void node::impl::answer_own(core::request_id id, const http::request& message)
-{
-    if (message.path == entries_path) {
-        answer_entries(id, message);
-    } else if (message.path == announce_path) {
-        answer_announce(id, message);
-    } else if (message.path == status_path) {
-        respond(id, status_answer(now_, options_, link_, pools_, condition_));
-    } else if (message.path == metrics_path) {
-        publish(now_, link_, pools_, condition_, metrics_);
-        http::response it;
-        it.headers.set("Content-Type", "text/plain; version=0.0.4");
-        it.body = metrics_.exposition();
-        respond(id, std::move(it));
-    } else {
-        respond(id, error_answer(404, "unknown path"));
-    }
-}
-
-std::optional<core::pool_id>
-node::impl::pool_asked_for(const http::request& message) const
-{
-    if (const auto pool = message.query_value("pool"); !pool.empty()) {
-        return parse_pool(pool);
-    }
-    const std::string path = message.query_value("path");
-    const auto match = routes_->find(
-        message.query_value("host"),
-        request::routing_path(path.empty() ? "/" : path).value_or("/"),
-        message.query_value("method"));
-    if (match.pool == nullptr) {
-        return std::nullopt;
-    }
-    return match.pool->id;
-}
-
-void node::impl::answer_entries(core::request_id id, const http::request& message)
-{
-    if (!routes_) {
-        respond(id, error_answer(503, "no revision"));
-        return;
-    }
-    const auto pool = pool_asked_for(message);
-    if (!pool || !view_->declarations->pools.contains(*pool)) {
-        respond(id, error_answer(404, "no such pool or route"));
-        return;
-    }
-    const auto mine = pools_.find(*pool);
-    if (mine != pools_.end()) {
-        respond(
-            id,
-            entries_answer(
-                *pool,
-                view_->revision,
-                mine->second->usable_entries(now_, *view_),
-                options_.keep));
-    } else {
-        ask_next(make_entries_query(id, *pool, *view_, random_));
-    }
-}
-
-void node::impl::ask_next(entries_query query)
-{
-    if (query.candidates.empty()) {
-        respond(
-            query.caller,
-            entries_answer(
-                query.pool,
-                view_->revision,
-                committed_entries(*view_, query.pool),
-                options_.keep));
-        return;
-    }
-    http::client_request ask;
-    ask.to = query.candidates.back().http;
-    ask.method = "GET";
-    ask.target = std::string(entries_path) + "?pool=" + query.pool.str();
-    ask.timeout = query_timeout;
-    query.candidates.pop_back();
-    call(std::move(query), std::move(ask));
-}
-
-void node::impl::answer_announce(core::request_id id, const http::request& message)
-{
-    const auto parsed = parse_announce(message.body);
-    if (const auto* problem = std::get_if<std::string>(&parsed)) {
-        respond(id, error_answer(400, *problem));
-        return;
-    }
-    const auto& it = std::get<announce_call>(parsed);
-    if (!view_ || !view_->declarations || !view_->declarations->pools.contains(it.pool)) {
-        respond(id, error_answer(view_ ? 404 : 503, "no such pool"));
-        return;
-    }
-    const auto mine = pools_.find(it.pool);
-    const bool accepted = mine != pools_.end() &&
-                          mine->second->health().announce(now_, it.announcement, it.echo);
-    respond(
-        id,
-        announce_answer(
-            now_,
-            accepted,
-            committed_entries(*view_, it.pool),
-            view_->declarations->pools.at(it.pool).departure));
-}
-
 void node::impl::run_all(std::vector<request::action> actions)
 {
     for (auto& it : actions) {
@@ -491,6 +244,9 @@
 
 void node::impl::respond(core::request_id id, http::response it)
 {
+    if (condition_.is_draining && options_.closes_when_stopping) {
+        it.headers.set("Connection", "close");
+    }
     out_.emplace_back(action::http_respond{id, std::move(it)});
 }
 
@@ -505,86 +261,6 @@
     out_.emplace_back(action::write_log{severity, std::move(event), std::move(fields)});
 }
 
-bool node::impl::is_mine(const core::pool_id& pool) const
-{
-    const auto list = view_->assignments.find(pool);
-    if (list == view_->assignments.end()) {
-        return false;
-    }
-    const auto& entries = list->second.entries;
-    return std::find(entries.begin(), entries.end(), options_.self.id) != entries.end();
-}
-
-void node::impl::apply_view()
-{
-    if (link_.replica().revision() == core::revision() ||
-        view_ == link_.replica().view()) {
-        return;
-    }
-    const auto previous = std::exchange(view_, link_.replica().view());
-    if (!previous || previous->declarations != view_->declarations) {
-        routes_ = std::make_shared<const request::route_table>(view_->declarations);
-        dispatcher_.set_routes(routes_);
-        drop_undeclared_pools(previous.get());
-    }
-    const bool same_entries = previous && previous->entries == view_->entries;
-    for (const auto& [id, declared] : view_->declarations->pools) {
-        if (!same_entries || pools_.contains(id) || is_affected(*previous, declared)) {
-            update_pool(declared);
-        }
-    }
-}
-
-void node::impl::drop_undeclared_pools(const control::fleet_view* previous)
-{
-    if (previous == nullptr) {
-        return;
-    }
-    for (const auto& [id, declared] : previous->declarations->pools) {
-        if (!view_->declarations->pools.contains(id)) {
-            pools_.erase(id);
-            run_all(dispatcher_.remove_pool(now_, id));
-        }
-    }
-}
-
-bool node::impl::is_affected(
-    const control::fleet_view& previous, const config::pool_settings& declared) const
-{
-    const auto known = previous.declarations->pools.find(declared.id);
-    if (known == previous.declarations->pools.end() || known->second != declared) {
-        return true;
-    }
-    const auto before = previous.assignments.find(declared.id);
-    const auto after = view_->assignments.find(declared.id);
-    const bool had_list = before != previous.assignments.end();
-    const bool has_list = after != view_->assignments.end();
-    return had_list != has_list || (has_list && before->second != after->second);
-}
-
-void node::impl::update_pool(const config::pool_settings& declared)
-{
-    if (is_mine(declared.id)) {
-        auto& pool = pools_[declared.id];
-        if (!pool) {
-            pool = std::make_unique<pool_runtime>(options_, now_, declared);
-            pool->health().set_list_confirmed(link_.is_confirmed());
-            pool->health().set_draining(condition_.is_draining);
-        }
-        pool->set_view(now_, *view_);
-        run_all(dispatcher_.update_pool(now_, pool->update(now_, *view_)));
-        return;
-    }
-    pools_.erase(declared.id);
-    request::pool_update update;
-    update.pool = declared.id;
-    update.settings = declared;
-    for (const auto& record : committed_entries(*view_, declared.id)) {
-        update.entries.push_back({record.id, record.http, true});
-    }
-    run_all(dispatcher_.update_pool(now_, std::move(update)));
-}
-
 node::node(
     node_options options, control::compile_function compile, telemetry::metrics& metrics)
     : impl_(std::make_unique<impl>(std::move(options), std::move(compile), metrics))
@@ -598,6 +274,11 @@
     return impl_->handle(now, std::move(it));
 }
 
+bool node::is_ready() const
+{
+    return impl_->is_ready();
+}
+
 core::revision node::revision() const
 {
     return impl_->revision();
--- /dev/null
+++ b/src/entry/node_answers.cpp
@@ -0,0 +1,120 @@
+#include "entry/node_impl_priv.hpp"
+
+#include "entry/api_priv.hpp"
+#include "request/routing_path_priv.hpp"
+
+namespace cuminpitch::entry {
+namespace {
+
+/// How long an assigned entry may take to answer a question passed on to it.
+constexpr absl::Duration query_timeout = absl::Milliseconds(500);
+
+} // namespace
+
+void node::impl::answer_own(core::request_id id, const http::request& message)
+{
+    if (message.path == entries_path) {
+        answer_entries(id, message);
+    } else if (message.path == announce_path) {
+        answer_announce(id, message);
+    } else if (message.path == status_path) {
+        respond(id, status_answer(now_, options_, link_, pools_, condition_));
+    } else if (message.path == metrics_path) {
+        publish(now_, link_, pools_, condition_, metrics_);
+        http::response it;
+        it.headers.set("Content-Type", "text/plain; version=0.0.4");
+        it.body = metrics_.exposition();
+        respond(id, std::move(it));
+    } else {
+        respond(id, error_answer(404, "unknown path"));
+    }
+}
+
+std::optional<core::pool_id>
+node::impl::pool_asked_for(const http::request& message) const
+{
+    if (const auto pool = message.query_value("pool"); !pool.empty()) {
+        return parse_pool(pool);
+    }
+    const std::string path = message.query_value("path");
+    const auto match = routes_->find(
+        message.query_value("host"),
+        request::routing_path(path.empty() ? "/" : path).value_or("/"),
+        message.query_value("method"));
+    if (match.pool == nullptr) {
+        return std::nullopt;
+    }
+    return match.pool->id;
+}
+
+void node::impl::answer_entries(core::request_id id, const http::request& message)
+{
+    if (!routes_) {
+        respond(id, error_answer(503, "no revision"));
+        return;
+    }
+    const auto pool = pool_asked_for(message);
+    if (!pool || !view_->declarations->pools.contains(*pool)) {
+        respond(id, error_answer(404, "no such pool or route"));
+        return;
+    }
+    const auto mine = pools_.find(*pool);
+    if (mine != pools_.end()) {
+        respond(
+            id,
+            entries_answer(
+                *pool,
+                view_->revision,
+                mine->second->usable_entries(now_, *view_),
+                options_.keep));
+    } else {
+        ask_next(make_entries_query(id, *pool, *view_, random_));
+    }
+}
+
+void node::impl::ask_next(entries_query query)
+{
+    if (query.candidates.empty()) {
+        respond(
+            query.caller,
+            entries_answer(
+                query.pool,
+                view_->revision,
+                committed_entries(*view_, query.pool),
+                options_.keep));
+        return;
+    }
+    http::client_request ask;
+    ask.to = query.candidates.back().http;
+    ask.method = "GET";
+    ask.target = std::string(entries_path) + "?pool=" + query.pool.str();
+    ask.timeout = query_timeout;
+    query.candidates.pop_back();
+    call(std::move(query), std::move(ask));
+}
+
+void node::impl::answer_announce(core::request_id id, const http::request& message)
+{
+    const auto parsed = parse_announce(message.body);
+    if (const auto* problem = std::get_if<std::string>(&parsed)) {
+        respond(id, error_answer(400, *problem));
+        return;
+    }
+    const auto& it = std::get<announce_call>(parsed);
+    if (!view_ || !view_->declarations || !view_->declarations->pools.contains(it.pool)) {
+        respond(id, error_answer(view_ ? 404 : 503, "no such pool"));
+        return;
+    }
+    const auto mine = pools_.find(it.pool);
+    const bool accepted = mine != pools_.end() &&
+                          mine->second->health().announce(now_, it.announcement, it.echo);
+    respond(
+        id,
+        announce_answer(
+            now_,
+            accepted,
+            committed_entries(*view_, it.pool),
+            view_->declarations->pools.at(it.pool).departure));
+}
+
+} // namespace cuminpitch::entry
--- /dev/null
+++ b/src/entry/node_impl_priv.hpp
@@ -0,0 +1,182 @@
+#pragma once
+
+#include "cuminpitch/entry/node.hpp"
+
+#include "cuminpitch/core/random.hpp"
+#include "cuminpitch/request/dispatcher.hpp"
+#include "cuminpitch/request/route_table.hpp"
+#include "entry/control_link_priv.hpp"
+#include "entry/entries_query_priv.hpp"
+#include "entry/pool_runtime_priv.hpp"
+#include "entry/shared_pool_priv.hpp"
+#include "entry/status_priv.hpp"
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace cuminpitch::entry {
+
+struct probe_call
+{
+    core::pool_id pool;
+    core::server_id server;
+};
+
+/// What an HTTP call of this entry is for.
+using call_purpose = std::variant<request::attempt_id, probe_call, entries_query>;
+
+/// The composition behind node. Events and actions are in node.cpp, what the entry answers
+/// itself in node_answers.cpp, views and pools in node_pools.cpp.
+class node::impl
+{
+public:
+    impl(
+        node_options options,
+        control::compile_function compile,
+        telemetry::metrics& metrics)
+        : options_(std::move(options)), metrics_(metrics),
+          link_(options_, std::move(compile)), random_(options_.seed),
+          dispatcher_(
+              dispatcher_options(options_),
+              core::random_source(options_.seed + 1),
+              metrics)
+    {
+    }
+
+    std::vector<node_action> handle(absl::Time now, node_event it)
+    {
+        now_ = now;
+        if (now_ - refreshed_ > refresh_limit) {
+            refresh();
+        }
+        std::visit([&](auto& event) { on(event); }, it);
+        apply_view();
+        return std::exchange(out_, {});
+    }
+
+    core::revision revision() const { return link_.replica().revision(); }
+    bool is_ready() const { return view_ && routes_ && !condition_.is_draining; }
+
+private:
+    /// Ticks come every 20 ms. After a longer gap, as when the process was frozen, what
+    /// is known of servers and leases may have expired and is brought up to date first.
+    static constexpr absl::Duration refresh_limit = absl::Milliseconds(40);
+
+    static request::dispatcher_options dispatcher_options(const node_options& from)
+    {
+        request::dispatcher_options it;
+        it.dialect = from.dialect;
+        it.explains = from.explains;
+        return it;
+    }
+
+    // Events.
+    void on(event::http_request& it);
+    void on(event::caller_gone& it) { dispatch(request::caller_gone{it.id}); }
+    void on(event::call_finished& it);
+    void on(event::frame_received& it);
+    void on(event::tick&);
+    void on(event::stop&);
+    void on(event::control_changed& it);
+
+    // Purposes of finished calls.
+    void finish(const request::attempt_id& attempt, http::client_result& result);
+    void finish(const probe_call& probe, http::client_result& result);
+    void finish(entries_query& query, http::client_result& result);
+
+    // Actions of the parts.
+    void run(request::start_attempt& it)
+    {
+        call(it.send.attempt, make_client_request(it.send));
+    }
+    void run(request::forward& it)
+    {
+        call(it.send.attempt, make_client_request(it.send));
+    }
+    void run(request::respond& it) { respond(it.request, std::move(it.response)); }
+    void run(request::refuse& it) { respond(it.request, std::move(it.response)); }
+    void run(request::cancel_attempt& it);
+    void run(request::observe& it);
+    void run(request::explain& it);
+    void run(const core::pool_id& pool, health::send_heartbeat& it);
+    void run(const core::pool_id& pool, health::action::start_probe& it);
+    void run(const core::pool_id& pool, health::log_event& it);
+
+    void answer_own(core::request_id id, const http::request& message);
+    void answer_entries(core::request_id id, const http::request& message);
+    void answer_announce(core::request_id id, const http::request& message);
+    std::optional<core::pool_id> pool_asked_for(const http::request& message) const;
+    void ask_next(entries_query query);
+
+    void receive_control(const net::peer& from, const net::frame& it);
+    void receive_pool(const net::peer& from, const net::frame& it);
+
+    void dispatch(request::event it) { run_all(dispatcher_.handle(now_, std::move(it))); }
+    void run_all(std::vector<request::action> actions);
+    void call(call_purpose purpose, http::client_request request);
+    void respond(core::request_id id, http::response it);
+    void add(std::vector<node_action> actions);
+    void
+    log(telemetry::severity severity,
+        std::string event,
+        std::vector<telemetry::field> fields = {});
+
+    void apply_view();
+    void drop_undeclared_pools(const control::fleet_view* previous);
+    /// Whether a pool that this entry does not serve differs between the previous view
+    /// and the current one. Updating all pools of the target size takes longer than the
+    /// rest of a list change.
+    bool is_affected(
+        const control::fleet_view& previous, const config::pool_settings& declared) const;
+    void update_pool(const config::pool_settings& declared);
+    bool is_mine(const core::pool_id& pool) const;
+    void refresh();
+    void tick_pools();
+    void tick_shared_pools();
+    void update_shared_pool(const config::pool_settings& declared);
+    void send_shared(const core::pool_id& pool);
+    void send_presence();
+    void share_evidence();
+    void announce_activity();
+    void receive_evidence(const net::peer& from, const control::pool_evidence& it);
+    void update_condition();
+    bool is_isolated() const;
+
+    node_options options_;
+    telemetry::metrics& metrics_;
+    control_link link_;
+    core::random_source random_;
+    request::dispatcher dispatcher_;
+
+    absl::Time now_;
+    std::vector<node_action> out_;
+    control::fleet_view_ptr view_;
+    pool_map pools_;
+    absl::btree_map<core::pool_id, shared_pool> shared_pools_;
+    /// Entries that carry requests too, with the time of their last word.
+    absl::btree_map<core::endpoint, absl::Time> active_peers_;
+    absl::Time last_request_ = absl::InfinitePast();
+    absl::Time next_activity_ = absl::InfinitePast();
+    absl::Time next_penalties_ = absl::InfinitePast();
+    absl::Time next_presence_ = absl::InfinitePast();
+    std::shared_ptr<const request::route_table> routes_;
+
+    std::uint64_t last_call_ = 0;
+    absl::flat_hash_map<call_id, call_purpose> calls_;
+    absl::flat_hash_map<request::attempt_id, call_id> call_of_attempt_;
+
+    absl::Time started_ = absl::InfiniteFuture();
+    absl::Time refreshed_ = absl::InfinitePast();
+    absl::Time refuse_at_ = absl::InfiniteFuture();
+    node_condition condition_;
+    bool stopped_listening_ = false;
+    bool exited_ = false;
+};
+
+} // namespace cuminpitch::entry
--- /dev/null
+++ b/src/entry/node_pools.cpp
@@ -0,0 +1,232 @@
+#include "entry/node_impl_priv.hpp"
+
+#include "cuminpitch/wire/control_codec.hpp"
+
+namespace cuminpitch::entry {
+namespace {
+
+/// Penalties of servers halve in 1.5 s, so they change little in this time.
+constexpr absl::Duration penalty_interval = absl::Milliseconds(100);
+/// An entry that carried a request this recently shares what it sees of servers.
+constexpr absl::Duration activity_memory = absl::Seconds(5);
+/// Time between two announcements that this entry carries requests.
+constexpr absl::Duration activity_interval = absl::Seconds(3);
+
+node_action send_message(const core::endpoint& to, const control::message& it)
+{
+    return action::send_frame{to, net::frame{net::channel::control, wire::encode(it)}};
+}
+
+} // namespace
+
+void node::impl::refresh()
+{
+    refreshed_ = now_;
+    tick_pools();
+    update_condition();
+}
+
+void node::impl::tick_pools()
+{
+    for (auto& [id, pool] : pools_) {
+        pool->health().set_list_confirmed(link_.is_confirmed());
+        auto actions = pool->health().tick(now_);
+        for (auto& it : actions) {
+            std::visit([&, &pool_id = id](auto& what) { run(pool_id, what); }, it);
+        }
+        run_all(dispatcher_.update_pool(now_, pool->update(now_, *view_)));
+    }
+}
+
+void node::impl::update_condition()
+{
+    const bool was_isolated = condition_.is_isolated;
+    condition_.is_isolated = is_isolated();
+    condition_.is_refusing = now_ >= refuse_at_;
+    condition_.in_flight = dispatcher_.in_flight();
+    dispatcher_.set_entry({condition_.is_isolated, condition_.is_refusing});
+    if (condition_.is_isolated != was_isolated) {
+        log(telemetry::severity::warning,
+            condition_.is_isolated ? "isolated" : "connected");
+    }
+}
+
+/// An entry that is alone in the fleet can't tell a fault of its own from one of control.
+bool node::impl::is_isolated() const
+{
+    const bool has_peers = view_ && view_->entries.size() > 1;
+    return has_peers &&
+           now_ - std::max(link_.last_heard(), started_) >= options_.isolation_timeout;
+}
+
+bool node::impl::is_mine(const core::pool_id& pool) const
+{
+    const auto list = view_->assignments.find(pool);
+    if (list == view_->assignments.end()) {
+        return false;
+    }
+    const auto& entries = list->second.entries;
+    return std::find(entries.begin(), entries.end(), options_.self.id) != entries.end();
+}
+
+void node::impl::apply_view()
+{
+    if (link_.replica().revision() == core::revision() ||
+        view_ == link_.replica().view()) {
+        return;
+    }
+    const auto previous = std::exchange(view_, link_.replica().view());
+    if (!previous || previous->declarations != view_->declarations) {
+        routes_ = std::make_shared<const request::route_table>(view_->declarations);
+        dispatcher_.set_routes(routes_);
+        drop_undeclared_pools(previous.get());
+    }
+    const bool same_entries = previous && previous->entries == view_->entries;
+    for (const auto& [id, declared] : view_->declarations->pools) {
+        if (!same_entries || declared.every_entry || pools_.contains(id) || is_affected(*previous, declared)) {
+            update_pool(declared);
+        }
+    }
+}
+
+void node::impl::drop_undeclared_pools(const control::fleet_view* previous)
+{
+    if (previous == nullptr) {
+        return;
+    }
+    for (const auto& [id, declared] : previous->declarations->pools) {
+        if (!view_->declarations->pools.contains(id)) {
+            pools_.erase(id);
+            shared_pools_.erase(id);
+            run_all(dispatcher_.remove_pool(now_, id));
+        }
+    }
+}
+
+bool node::impl::is_affected(
+    const control::fleet_view& previous, const config::pool_settings& declared) const
+{
+    const auto known = previous.declarations->pools.find(declared.id);
+    if (known == previous.declarations->pools.end() || known->second != declared) {
+        return true;
+    }
+    const auto before = previous.assignments.find(declared.id);
+    const auto after = view_->assignments.find(declared.id);
+    const bool had_list = before != previous.assignments.end();
+    const bool has_list = after != view_->assignments.end();
+    return had_list != has_list || (has_list && before->second != after->second);
+}
+
+void node::impl::update_shared_pool(const config::pool_settings& declared)
+{
+    const auto [it, is_new] = shared_pools_.try_emplace(
+        declared.id, declared.id, options_.self.failure_domain);
+    if (it->second.set_view(now_, *view_) || is_new) {
+        send_shared(declared.id);
+    }
+}
+
+void node::impl::send_shared(const core::pool_id& pool)
+{
+    const auto& it = shared_pools_.at(pool);
+    run_all(dispatcher_.update_pool(now_, it.update(now_, link_.last_answer())));
+}
+
+void node::impl::tick_shared_pools()
+{
+    if (shared_pools_.empty()) {
+        return;
+    }
+    share_evidence();
+    if (now_ >= next_activity_ && now_ - last_request_ < activity_memory) {
+        next_activity_ = now_ + activity_interval;
+        announce_activity();
+    }
+    if (now_ < next_penalties_) {
+        return;
+    }
+    next_penalties_ = now_ + penalty_interval;
+    for (auto& [id, pool] : shared_pools_) {
+        if (pool.has_fading(now_)) {
+            send_shared(id);
+        }
+    }
+}
+
+void node::impl::announce_activity()
+{
+    control::pool_evidence nothing;
+    nothing.pool = shared_pools_.begin()->first;
+    for (const auto& [id, record] : view_->entries) {
+        if (id != options_.self.id) {
+            out_.push_back(send_message(record.internal, nothing));
+        }
+    }
+}
+
+void node::impl::share_evidence()
+{
+    for (auto& [id, pool] : shared_pools_) {
+        const auto evidence = pool.take_evidence();
+        if (!evidence) {
+            continue;
+        }
+        for (const auto& [peer, heard] : active_peers_) {
+            if (now_ - heard < activity_interval + activity_memory) {
+                out_.push_back(send_message(peer, *evidence));
+            }
+        }
+    }
+}
+
+void node::impl::receive_evidence(const net::peer& from, const control::pool_evidence& it)
+{
+    active_peers_[from.internal] = now_;
+    const auto pool = shared_pools_.find(it.pool);
+    if (pool != shared_pools_.end() && !it.failures.empty()) {
+        pool->second.receive(now_, it);
+        send_shared(it.pool);
+    }
+}
+
+void node::impl::send_presence()
+{
+    next_presence_ = now_ + options_.presence_interval;
+    if (options_.presence_interval == absl::InfiniteDuration()) {
+        return;
+    }
+    const control::presence it{options_.self, options_.incarnation, is_ready()};
+    for (const auto& to : link_.control()) {
+        out_.push_back(send_message(to, it));
+    }
+}
+
+void node::impl::update_pool(const config::pool_settings& declared)
+{
+    if (declared.every_entry) {
+        update_shared_pool(declared);
+        return;
+    }
+    shared_pools_.erase(declared.id);
+    if (is_mine(declared.id)) {
+        auto& pool = pools_[declared.id];
+        if (!pool) {
+            pool = std::make_unique<pool_runtime>(options_, now_, declared);
+            pool->health().set_list_confirmed(link_.is_confirmed());
+            pool->health().set_draining(condition_.is_draining);
+        }
+        pool->set_view(now_, *view_);
+        run_all(dispatcher_.update_pool(now_, pool->update(now_, *view_)));
+        return;
+    }
+    pools_.erase(declared.id);
+    request::pool_update update;
+    update.pool = declared.id;
+    update.settings = declared;
+    for (const auto& record : committed_entries(*view_, declared.id)) {
+        update.entries.push_back({record.id, record.http, true});
+    }
+    run_all(dispatcher_.update_pool(now_, std::move(update)));
+}
+
+} // namespace cuminpitch::entry
--- /dev/null
+++ b/src/entry/shared_pool.cpp
@@ -0,0 +1,150 @@
+#include "entry/shared_pool_priv.hpp"
+
+#include <algorithm>
+
+namespace cuminpitch::entry {
+namespace {
+
+/// Penalty, in parts of its slots, of a server in another failure domain: one of four
+/// slots. A near server is preferred until it has that much more to do.
+constexpr double far_penalty = 0.25;
+/// Penalty of a server during its cold start, in which it takes about twice as long.
+constexpr double cold_penalty = 0.5;
+
+} // namespace
+
+shared_pool::shared_pool(core::pool_id id, core::failure_domain_id own_domain)
+    : id_(std::move(id)), own_domain_(std::move(own_domain))
+{
+}
+
+bool shared_pool::set_view(absl::Time now, const control::fleet_view& view)
+{
+    const auto& declared = view.declarations->pools.at(id_);
+    revision_ = view.revision;
+    const bool is_same = source_ == view.servers && settings_ == declared;
+    settings_ = declared;
+    if (source_ == view.servers) {
+        return !is_same;
+    }
+    source_ = view.servers;
+    absl::btree_map<core::server_id, server> next;
+    if (const auto listed = source_->find(id_); listed != source_->end()) {
+        for (const auto& record : listed->second) {
+            const auto& said = record.announcement;
+            if (said.state != upstream::availability::active) {
+                continue;
+            }
+            const auto known = servers_.find(said.server);
+            const bool goes_on =
+                known != servers_.end() &&
+                known->second.record.announcement.incarnation == said.incarnation &&
+                known->second.record.announcement.address == said.address;
+            auto& it = next[said.server];
+            it = goes_on ? known->second : server{record, now, false};
+            it.record = record;
+        }
+    }
+    servers_ = std::move(next);
+    return true;
+}
+
+bool shared_pool::is_cold(absl::Time now, const server& it) const
+{
+    return now - it.first_seen < it.record.announcement.cold_start;
+}
+
+double shared_pool::penalty(absl::Time now, const server& it) const
+{
+    double result = suspicion_.level(now, it.record.announcement.server);
+    if (it.record.announcement.failure_domain != own_domain_) {
+        result += far_penalty;
+    }
+    if (is_cold(now, it)) {
+        result += cold_penalty;
+    }
+    return result;
+}
+
+request::pool_update shared_pool::update(absl::Time now, absl::Time confirmed) const
+{
+    request::pool_update out;
+    out.pool = id_;
+    out.settings = settings_;
+    out.is_mine = true;
+    out.revision = revision_;
+    out.as_of = confirmed;
+    for (const auto& [id, it] : servers_) {
+        if (it.is_replaced) {
+            continue;
+        }
+        request::server_view view;
+        view.id = id;
+        view.at = it.record.announcement.address;
+        view.slots = std::max<std::uint32_t>(1, it.record.announcement.slots);
+        view.penalty = penalty(now, it);
+        out.servers.push_back(std::move(view));
+    }
+    return out;
+}
+
+void shared_pool::observe(absl::Time now, const request::observation& it)
+{
+    using kind = request::observation::kind;
+    if (it.is_misdirected) {
+        if (const auto found = servers_.find(it.server); found != servers_.end()) {
+            found->second.is_replaced = true;
+        }
+        return;
+    }
+    switch (it.what) {
+    case kind::success:
+        suspicion_.count_success(it.server);
+        break;
+    case kind::failure:
+        suspicion_.count_failure(now, it.server);
+        // A path that fails for this entry may be good for others.
+        if (!it.is_about_path) {
+            ++fresh_failures_[it.server];
+        }
+        break;
+    case kind::shed:
+        suspicion_.count_shed(now, it.server);
+        break;
+    case kind::none:
+        break;
+    }
+}
+
+void shared_pool::receive(absl::Time now, const control::pool_evidence& it)
+{
+    for (const auto& failures : it.failures) {
+        for (std::uint32_t n = 0; n < failures.count; ++n) {
+            suspicion_.count_failure(now, failures.server);
+        }
+    }
+}
+
+std::optional<control::pool_evidence> shared_pool::take_evidence()
+{
+    if (fresh_failures_.empty()) {
+        return std::nullopt;
+    }
+    control::pool_evidence out;
+    out.pool = id_;
+    for (const auto& [server, count] : fresh_failures_) {
+        out.failures.push_back({server, count});
+    }
+    fresh_failures_.clear();
+    return out;
+}
+
+bool shared_pool::has_fading(absl::Time now) const
+{
+    return suspicion_.is_any(now) ||
+           std::any_of(servers_.begin(), servers_.end(), [&](const auto& it) {
+               return is_cold(now, it.second);
+           });
+}
+
+} // namespace cuminpitch::entry
--- /dev/null
+++ b/src/entry/shared_pool_priv.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "cuminpitch/control/fleet_view.hpp"
+#include "cuminpitch/control/sync.hpp"
+#include "cuminpitch/health/suspicion.hpp"
+#include "cuminpitch/request/events.hpp"
+
+#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
+#include <absl/time/time.h>
+
+#include <optional>
+#include <vector>
+
+namespace cuminpitch::entry {
+
+/// A pool that every entry serves: its servers as control lists them, and what requests
+/// have shown of them here and at other entries.
+class shared_pool
+{
+public:
+    shared_pool(core::pool_id id, core::failure_domain_id own_domain);
+
+    /// True if the servers or settings differ from those before.
+    bool set_view(absl::Time now, const control::fleet_view& view);
+
+    /// What the request dispatcher has to know now.
+    request::pool_update update(absl::Time now, absl::Time confirmed) const;
+
+    void observe(absl::Time now, const request::observation& it);
+    /// Failures that another entry saw.
+    void receive(absl::Time now, const control::pool_evidence& it);
+    /// Failures seen here since the last call, for other entries; empty if none.
+    std::optional<control::pool_evidence> take_evidence();
+
+    /// Whether penalties have to be computed anew without an event: they fade.
+    bool has_fading(absl::Time now) const;
+
+    std::size_t size() const { return servers_.size(); }
+
+private:
+    struct server
+    {
+        control::server_record record;
+        absl::Time first_seen;
+        /// Another server answers at its address, so it is gone until it announces itself
+        /// with a later start.
+        bool is_replaced = false;
+    };
+
+    double penalty(absl::Time now, const server& it) const;
+    bool is_cold(absl::Time now, const server& it) const;
+
+    core::pool_id id_;
+    core::failure_domain_id own_domain_;
+    config::pool_settings settings_;
+    core::revision revision_;
+    std::shared_ptr<const control::pool_servers> source_;
+    absl::btree_map<core::server_id, server> servers_;
+    health::suspicion suspicion_;
+    absl::btree_map<core::server_id, std::uint32_t> fresh_failures_;
+};
+
+} // namespace cuminpitch::entry
--- a/src/http/attempt.cpp
+++ b/src/http/attempt.cpp
@@ -216,11 +216,13 @@
         }
         framed = framed || absl::EqualsIgnoreCase(name, "Transfer-Encoding");
     }
-    return framed ? failure::none : failure::short_response;
+    return framed || request_.accepts_close_delimited ? failure::none
+                                                       : failure::short_response;
 }
 
 void attempt::finish(CURLcode code)
 {
+    connect_timed_out_ = code == CURLE_OPERATION_TIMEDOUT && sends_ == 0;
     report(failure_of(code));
 }
 
@@ -246,6 +248,7 @@
     long connects = 0;
     curl_easy_getinfo(easy_.get(), CURLINFO_NUM_CONNECTS, &connects);
     out.reused_connection = sends_ > 0 && connects == 0;
+    out.connect_timed_out = connect_timed_out_;
     done_(std::move(out));
 }
 
--- a/src/http/attempt_priv.hpp
+++ b/src/http/attempt_priv.hpp
@@ -49,6 +49,7 @@
     bool is_head_whole_ = false;
     bool too_large_ = false;
     bool malformed_ = false;
+    bool connect_timed_out_ = false;
 };
 
 } // namespace cuminpitch::http
--- a/src/http/refusal.cpp
+++ b/src/http/refusal.cpp
@@ -1,5 +1,6 @@
 #include "cuminpitch/http/refusal.hpp"
 
+#include <absl/strings/str_format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -11,6 +12,15 @@
 {
     const std::int64_t wait_ms =
         std::max<std::int64_t>(0, absl::ToInt64Milliseconds(it.retry_after));
+    if (it.is_terse) {
+        response out;
+        out.status = it.status;
+        out.headers.set(std::string(reason_header), it.reason);
+        if (wait_ms > 0) {
+            out.headers.set("Retry-After", absl::StrFormat("%.3f", wait_ms / 1000.0));
+        }
+        return out;
+    }
     const nlohmann::json body = {
         {"verdict", core::to_string(it.verdict)},
         {"reason", it.reason},
--- a/src/request/admission_filter.cpp
+++ b/src/request/admission_filter.cpp
@@ -17,7 +17,7 @@
     if (it.message->body.size() > it.pool->max_request_bytes) {
         return refusal_reason::request_too_large;
     }
-    const auto asked = read_deadline(it.message->headers);
+    const auto asked = read_deadline(it.message->headers, at.dialect.deadline);
     if (asked.kind == deadline_kind::malformed) {
         return refusal_reason::malformed_request;
     }
--- /dev/null
+++ b/src/request/dispatcher_answers.cpp
@@ -0,0 +1,168 @@
+#include "dispatcher_impl_priv.hpp"
+
+#include "cuminpitch/http/refusal.hpp"
+
+#include <algorithm>
+
+namespace cuminpitch::request {
+namespace {
+
+constexpr absl::Duration shortest_retry_after = absl::Milliseconds(100);
+constexpr absl::Duration longest_retry_after = absl::Seconds(10);
+constexpr absl::Duration usual_retry_after = absl::Seconds(1);
+constexpr int bad_gateway = 502;
+constexpr int unavailable = 503;
+
+} // namespace
+
+void dispatcher::impl::explain_decision(
+    const live_request& it, std::string what, std::vector<telemetry::field> inputs)
+{
+    if (options_.explains) {
+        out_.emplace_back(
+            explain{it.id, it.correlation, std::move(what), std::move(inputs)});
+    }
+}
+
+void dispatcher::impl::explain_send(const live_request& it, const server_view& server)
+{
+    if (!options_.explains) {
+        return;
+    }
+    const pool_state& pool = *pool_of(it);
+    explain_decision(
+        it,
+        "sent",
+        {{"route", it.route->id.str()},
+         {"pool", it.pool->id.str()},
+         {"server", server.id.str()},
+         {"address", server.at.str()},
+         {"attempt", static_cast<std::int64_t>(it.tried.size() + 1)},
+         {"limit_ms", absl::ToInt64Milliseconds(it.attempt_limit)},
+         {"waited_ms", absl::ToInt64Milliseconds(now_ - it.received)},
+         {"penalty", server.penalty},
+         {"pool_in_flight", static_cast<std::int64_t>(pool.in_flight())},
+         {"servers", static_cast<std::int64_t>(pool.known().servers.size())},
+         {"known_for_ms", absl::ToInt64Milliseconds(now_ - pool.known().as_of)},
+         {"revision", static_cast<std::int64_t>(pool.known().revision.value())}});
+}
+
+void dispatcher::impl::explain_result(
+    const live_request& it,
+    const http::client_result& result,
+    const attempt_outcome& outcome)
+{
+    if (!options_.explains || (!outcome.failure && !outcome.is_failure_status)) {
+        return;
+    }
+    explain_decision(
+        it,
+        "attempt failed",
+        {{"server", it.server.str()},
+         {"reason",
+          std::string(outcome.failure ? to_string(*outcome.failure) : "failure-status")},
+         {"status", std::int64_t{result.response.status}},
+         {"verdict", std::string(core::to_string(outcome.verdict))},
+         {"elapsed_ms", absl::ToInt64Milliseconds(result.elapsed)},
+         {"new_connection", !result.reused_connection}});
+}
+
+/// Ends a request that can't be sent (again): with the failure response of an earlier
+/// attempt, else with the failure of one that may have run, else with `why`.
+void dispatcher::impl::conclude(live_request& it, refusal_reason why)
+{
+    if (it.fallback) {
+        answer(it, core::verdict::ran, std::move(*it.fallback));
+        return;
+    }
+    const auto verdict =
+        it.may_have_run ? core::verdict::may_have_run : core::verdict::not_run;
+    refuse_request(it, it.may_have_run ? it.last_failure.value_or(why) : why, verdict);
+}
+
+void dispatcher::impl::answer(
+    live_request& it, core::verdict verdict, http::response response)
+{
+    auto at = pool_label(it);
+    at.emplace_back("verdict", core::to_string(verdict));
+    counters_.add("cuminpitch_responses_total", at);
+    counters_.record("cuminpitch_request_seconds", now_ - it.received, pool_label(it));
+    explain_decision(
+        it,
+        "answered",
+        {{"status", std::int64_t{response.status}},
+         {"verdict", std::string(core::to_string(verdict))},
+         {"total_ms", absl::ToInt64Milliseconds(now_ - it.received)},
+         {"attempts", static_cast<std::int64_t>(it.tried.size())}});
+    out_.emplace_back(respond{it.id, verdict, std::move(response)});
+    forget(it);
+}
+
+void dispatcher::impl::refuse_request(
+    live_request& it, refusal_reason why, core::verdict verdict)
+{
+    auto at = pool_label(it);
+    at.emplace_back("reason", to_string(why));
+    at.emplace_back("verdict", core::to_string(verdict));
+    counters_.add("cuminpitch_refusals_total", at);
+    http::refusal refusal;
+    refusal.status = status_of(why);
+    refusal.verdict = verdict;
+    refusal.reason = to_string(why);
+    refusal.retry_after = retry_after(it, why);
+    refusal.entries = other_entries(it);
+    refusal.is_terse = options_.dialect.terse_refusals;
+    const bool is_late = retry_class_of(why) == retry_class::later &&
+                         verdict == core::verdict::not_run;
+    if (options_.dialect.unavailable_means_not_run && is_late) {
+        refusal.status = unavailable;
+    } else if (options_.dialect.unavailable_means_not_run && it.may_have_run &&
+               refusal.status == unavailable) {
+        refusal.status = bad_gateway;
+    }
+    explain_decision(
+        it,
+        "refused",
+        {{"status", std::int64_t{refusal.status}},
+         {"reason", std::string(to_string(why))},
+         {"verdict", std::string(core::to_string(verdict))},
+         {"retry_after_ms", absl::ToInt64Milliseconds(refusal.retry_after)},
+         {"total_ms", absl::ToInt64Milliseconds(now_ - it.received)},
+         {"attempts", static_cast<std::int64_t>(it.tried.size())}});
+    out_.emplace_back(refuse{it.id, why, verdict, http::refusal_response(refusal)});
+    forget(it);
+}
+
+absl::Duration
+dispatcher::impl::retry_after(const live_request& it, refusal_reason why) const
+{
+    switch (retry_class_of(why)) {
+    case retry_class::never:
+    case retry_class::other_entry:
+        return absl::ZeroDuration();
+    case retry_class::unknown_outcome:
+        return usual_retry_after;
+    case retry_class::later:
+        break;
+    }
+    const pool_state* pool = it.pool == nullptr ? nullptr : pool_of(it);
+    const bool has_queue = pool != nullptr && pool->queue().size() > 0;
+    const auto wait = has_queue ? pool->expected_wait(it.caller) : usual_retry_after;
+    return std::clamp(wait, shortest_retry_after, longest_retry_after);
+}
+
+std::vector<std::string> dispatcher::impl::other_entries(const live_request& it) const
+{
+    std::vector<std::string> out;
+    const pool_state* pool = it.pool == nullptr ? nullptr : pool_of(it);
+    if (pool != nullptr) {
+        for (const auto& entry : pool->known().entries) {
+            if (entry.usable) {
+                out.push_back(entry.http.str());
+            }
+        }
+    }
+    return out;
+}
+
+} // namespace cuminpitch::request
--- /dev/null
+++ b/src/request/dispatcher_attempts.cpp
@@ -0,0 +1,251 @@
+#include "dispatcher_impl_priv.hpp"
+
+#include "cuminpitch/http/refusal.hpp"
+#include "messages_priv.hpp"
+
+#include <algorithm>
+
+namespace cuminpitch::request {
+namespace {
+
+/// The http client reports a timeout at the deadline; a result that is this late was
+/// lost.
+constexpr absl::Duration lost_result_grace = absl::Milliseconds(250);
+
+core::verdict verdict_from(const std::string& text)
+{
+    for (const auto it : {core::verdict::not_run, core::verdict::ran}) {
+        if (text == core::to_string(it)) {
+            return it;
+        }
+    }
+    return core::verdict::may_have_run;
+}
+
+} // namespace
+
+bool dispatcher::impl::is_doomed(const live_request& it, const pool_state& pool) const
+{
+    const absl::Duration remaining = it.deadline - now_;
+    return remaining <= absl::ZeroDuration() ||
+           (options_.has_admission_control && remaining < pool.least_time(it));
+}
+
+void dispatcher::impl::begin_attempt(live_request& it)
+{
+    last_attempt_ = last_attempt_.next();
+    it.attempt = last_attempt_;
+    it.attempt_begin = now_;
+    it.attempt_limit = it.deadline - now_;
+    attempts_[it.attempt] = it.id;
+    set_due(it, it.deadline + lost_result_grace);
+}
+
+/// Part of the remaining time for an attempt. A read that another server could answer too
+/// leaves half of it for that, as a server with a gray failure may never answer. Slow
+/// requests keep all of it: giving them up would only multiply the load.
+absl::Duration
+dispatcher::impl::time_limit(const live_request& it, const server_view& server) const
+{
+    constexpr int usual_times = 4;
+    const absl::Duration remaining = it.deadline - now_;
+    pool_state& pool = *pool_of(it);
+    const bool leaves_time = it.route->idempotent && pool.budget().allows() &&
+                             remaining / 2 >= usual_times * pool.service_time() &&
+                             pool.has_alternative(it, server.id);
+    return leaves_time ? remaining / 2 : remaining;
+}
+
+void dispatcher::impl::send(live_request& it, const server_view& server)
+{
+    begin_attempt(it);
+    it.attempt_limit = time_limit(it, server);
+    const auto since = it.at == live_request::phase::queued ? it.queued_at : now_;
+    counters_.record("cuminpitch_queue_wait_seconds", now_ - since, pool_label(it));
+    it.at = live_request::phase::sent;
+    it.server = server.id;
+    explain_send(it, server);
+    out_.emplace_back(start_attempt{
+        server.id, to_server(it, server, it.attempt_limit, options_.dialect)});
+    pool_of(it)->occupy(server, it.caller);
+}
+
+void dispatcher::impl::on(attempt_finished it)
+{
+    const auto found = attempts_.find(it.attempt);
+    if (found == attempts_.end()) {
+        counters_.add("cuminpitch_late_results_total");
+        return;
+    }
+    live_request& request = *live_.at(found->second);
+    if (request.at == live_request::phase::forwarded) {
+        leave_attempt(request);
+        finish_at_entry(request, std::move(it.result));
+        return;
+    }
+    const core::pool_id id = request.pool->id;
+    finish_at_server(request, std::move(it.result));
+    pump(*pools_.at(id));
+    erase_removed(id);
+}
+
+void dispatcher::impl::finish_at_server(live_request& it, http::client_result result)
+{
+    pool_state& pool = *pool_of(it);
+    const auto outcome = judge(
+        result,
+        it.attempt_limit,
+        pool.service_time(),
+        options_.dialect,
+        it.correlation);
+    explain_result(it, result, outcome);
+    out_.emplace_back(observe{
+        {it.pool->id,
+         it.server,
+         it.route->id,
+         outcome.evidence,
+         result.elapsed,
+         outcome.is_about_path,
+         outcome.is_misdirected}});
+    counters_.record("cuminpitch_attempt_seconds", result.elapsed, pool_label(it));
+    if (outcome.evidence == observation::kind::success) {
+        pool.count_service_time(result.elapsed);
+    }
+    it.tried.push_back(it.server);
+    leave_attempt(it);
+    if (!outcome.failure && !(outcome.is_failure_status && it.route->idempotent)) {
+        answer(
+            it,
+            core::verdict::ran,
+            from_server(it, std::move(result.response), options_.dialect));
+        return;
+    }
+    it.may_have_run = it.may_have_run || outcome.verdict != core::verdict::not_run;
+    if (outcome.failure) {
+        it.last_failure = outcome.failure;
+    } else {
+        it.fallback = from_server(it, std::move(result.response), options_.dialect);
+    }
+    if (!repeat_at_server(it, outcome)) {
+        conclude(it, it.last_failure.value_or(refusal_reason::reset));
+    }
+}
+
+bool dispatcher::impl::has_attempts_left(const live_request& it) const
+{
+    return !it.route->max_attempts || it.tried.size() < *it.route->max_attempts;
+}
+
+bool dispatcher::impl::repeat_at_server(live_request& it, const attempt_outcome& outcome)
+{
+    pool_state& pool = *pool_of(it);
+    const char* why = nullptr;
+    // What never reached a server is no load on the pool.
+    const bool is_free =
+        pool.known().settings.every_entry && outcome.verdict == core::verdict::not_run &&
+        outcome.failure == refusal_reason::connect_failed;
+    if (!may_repeat(it, outcome)) {
+        why = "may-have-run";
+    } else if (is_doomed(it, pool)) {
+        why = "deadline";
+    } else if (!pool.known().is_mine || !pool.has_untried(it)) {
+        why = "no-other-server";
+    } else if (!has_attempts_left(it)) {
+        why = "attempts-spent";
+    } else if (!is_free && !pool.budget().take()) {
+        counters_.add("cuminpitch_retries_over_budget_total", pool_label(it));
+        why = "budget";
+    }
+    if (why != nullptr) {
+        explain_decision(it, "not repeated", {{"reason", std::string(why)}});
+        return false;
+    }
+    count_retry(it, outcome);
+    place(it);
+    return true;
+}
+
+void dispatcher::impl::count_retry(const live_request& it, const attempt_outcome& outcome)
+{
+    auto at = pool_label(it);
+    at.emplace_back("reason", retry_reason(outcome));
+    counters_.add("cuminpitch_retries_total", at);
+}
+
+std::vector<entry_view> dispatcher::impl::untried_entries(const live_request& it) const
+{
+    std::vector<entry_view> out;
+    for (const auto& entry : pool_of(it)->known().entries) {
+        const bool tried =
+            std::find(it.tried_entries.begin(), it.tried_entries.end(), entry.id) !=
+            it.tried_entries.end();
+        if (entry.usable && !tried) {
+            out.push_back(entry);
+        }
+    }
+    return out;
+}
+
+void dispatcher::impl::forward_to_entry(live_request& it)
+{
+    const auto entries = untried_entries(it);
+    if (entries.empty()) {
+        conclude(it, refusal_reason::no_entry);
+        return;
+    }
+    const entry_view& entry = entries[random_() % entries.size()];
+    begin_attempt(it);
+    it.at = live_request::phase::forwarded;
+    it.tried_entries.push_back(entry.id);
+    out_.emplace_back(forward{
+        entry.id, to_entry(it, entry, it.attempt_limit, options_.dialect)});
+}
+
+void dispatcher::impl::finish_at_entry(live_request& it, http::client_result result)
+{
+    const std::string verdict = result.response.headers.get(http::verdict_header);
+    if (result.failure == http::failure::none && !verdict.empty()) {
+        answer(it, verdict_from(verdict), from_entry(it, std::move(result.response)));
+        return;
+    }
+    // An answer without a verdict isn't from an entry, or not from its request path.
+    attempt_outcome outcome;
+    const bool is_sent = result.verdict != core::verdict::not_run;
+    outcome.verdict = is_sent ? core::verdict::may_have_run : core::verdict::not_run;
+    outcome.failure =
+        is_sent ? refusal_reason::hop_failed : refusal_reason::hop_unreachable;
+    if (result.failure == http::failure::response_too_large) {
+        outcome.failure = refusal_reason::response_too_large;
+    }
+    it.may_have_run = it.may_have_run || is_sent;
+    it.last_failure = outcome.failure;
+    if (!repeat_at_entry(it, outcome)) {
+        conclude(it, *it.last_failure);
+    }
+}
+
+bool dispatcher::impl::repeat_at_entry(live_request& it, const attempt_outcome& outcome)
+{
+    if (!may_repeat(it, outcome) || now_ >= it.deadline || pool_of(it) == nullptr ||
+        untried_entries(it).empty()) {
+        return false;
+    }
+    if (!pool_of(it)->budget().take()) {
+        counters_.add("cuminpitch_retries_over_budget_total", pool_label(it));
+        return false;
+    }
+    count_retry(it, outcome);
+    forward_to_entry(it);
+    return true;
+}
+
+void dispatcher::impl::leave_attempt(live_request& it)
+{
+    attempts_.erase(it.attempt);
+    if (it.at == live_request::phase::sent) {
+        pool_of(it)->release(it.server, it.caller);
+    }
+    it.at = live_request::phase::arriving;
+}
+
+} // namespace cuminpitch::request
--- /dev/null
+++ b/src/request/dispatcher_impl_priv.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "cuminpitch/request/dispatcher.hpp"
+
+#include "filters_priv.hpp"
+#include "retry_filter_priv.hpp"
+#include "split_balancer_priv.hpp"
+#include "team_shares_priv.hpp"
+
+#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+namespace cuminpitch::request {
+
+/// The composition behind dispatcher. Arrivals, queues and events are in dispatcher.cpp,
+/// sends and repeats in dispatcher_attempts.cpp, what callers get in
+/// dispatcher_answers.cpp.
+class dispatcher::impl
+{
+public:
+    impl(
+        dispatcher_options options,
+        core::random_source random,
+        telemetry::metrics& counters)
+        : options_(std::move(options)), random_(random), splits_(random),
+          counters_(counters),
+          teams_(options_.in_flight_limit, options_.team_share_percent)
+    {
+    }
+
+    void set_routes(std::shared_ptr<const route_table> it);
+    void set_entry(const entry_state& it) { entry_ = it; }
+    std::vector<action> update_pool(absl::Time now, pool_update it);
+    std::vector<action> remove_pool(absl::Time now, const core::pool_id& id);
+    std::vector<action> handle(absl::Time now, event it);
+    std::size_t in_flight() const { return live_.size(); }
+    pool_load load(const core::pool_id& id) const;
+
+private:
+    using live_ptr = std::unique_ptr<live_request>;
+
+    void on(request_received it);
+    void on(attempt_finished it);
+    void on(const caller_gone& it);
+    void on(const tick& it);
+
+    std::optional<refusal_reason> filter_arrival(live_request& it) const;
+    std::optional<refusal_reason> make_room(const core::team_id& team);
+    bool evict_one_of(const core::team_id& team);
+
+    void place(live_request& it);
+    std::optional<refusal_reason> enqueue(live_request& it);
+    void send(live_request& it, const server_view& server);
+    void pump(pool_state& pool);
+    bool is_doomed(const live_request& it, const pool_state& pool) const;
+
+    void finish_at_server(live_request& it, http::client_result result);
+    bool repeat_at_server(live_request& it, const attempt_outcome& outcome);
+    void forward_to_entry(live_request& it);
+    void finish_at_entry(live_request& it, http::client_result result);
+    bool repeat_at_entry(live_request& it, const attempt_outcome& outcome);
+    std::vector<entry_view> untried_entries(const live_request& it) const;
+    void count_retry(const live_request& it, const attempt_outcome& outcome);
+
+    void conclude(live_request& it, refusal_reason why);
+    void answer(live_request& it, core::verdict verdict, http::response response);
+    void refuse_request(live_request& it, refusal_reason why, core::verdict verdict);
+    absl::Duration retry_after(const live_request& it, refusal_reason why) const;
+    std::vector<std::string> other_entries(const live_request& it) const;
+
+    void explain_decision(
+        const live_request& it, std::string what, std::vector<telemetry::field> inputs);
+    void explain_send(const live_request& it, const server_view& server);
+    void explain_result(
+        const live_request& it,
+        const http::client_result& result,
+        const attempt_outcome& outcome);
+    bool has_attempts_left(const live_request& it) const;
+    void begin_attempt(live_request& it);
+    absl::Duration time_limit(const live_request& it, const server_view& server) const;
+    void leave_attempt(live_request& it);
+    void set_due(live_request& it, absl::Time due);
+    void forget(live_request& it);
+    pool_state* pool_of(const live_request& it) const;
+    void erase_removed(const core::pool_id& id);
+    telemetry::labels pool_label(const live_request& it) const;
+
+    const dispatcher_options options_;
+    core::random_source random_;
+    mutable split_balancer splits_;
+    telemetry::metrics& counters_;
+    const route_filter route_filter_;
+    const admission_filter admission_filter_;
+    const ownership_filter ownership_filter_;
+
+    std::shared_ptr<const route_table> routes_;
+    entry_state entry_;
+    absl::flat_hash_map<core::pool_id, std::unique_ptr<pool_state>> pools_;
+    absl::flat_hash_set<core::pool_id> removed_;
+    absl::btree_map<core::team_id, std::size_t> pools_of_team_;
+    team_shares teams_;
+
+    absl::flat_hash_map<request_id, live_ptr> live_;
+    absl::flat_hash_map<attempt_id, request_id> attempts_;
+    absl::btree_set<std::pair<absl::Time, request_id>> due_;
+    attempt_id last_attempt_;
+
+    // Valid during one call.
+    absl::Time now_;
+    std::vector<action> out_;
+};
+
+} // namespace cuminpitch::request
--- a/src/request/filters_priv.hpp
+++ b/src/request/filters_priv.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "live_request_priv.hpp"
+#include "cuminpitch/request/dialect.hpp"
 #include "pool_state_priv.hpp"
+#include "split_balancer_priv.hpp"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -17,6 +19,8 @@
     const entry_state& entry;
     std::shared_ptr<const route_table> routes;
     const absl::flat_hash_map<core::pool_id, std::unique_ptr<pool_state>>& pools;
+    const request::dialect& dialect;
+    split_balancer& splits;
 };
 
 /// One step between the arrival of a request and its place in the queue.
--- a/src/request/header_rules.cpp
+++ b/src/request/header_rules.cpp
@@ -63,20 +63,20 @@
     return out;
 }
 
-void strip_fleet_headers(http::headers& it)
+void strip_fleet_headers(http::headers& it, const dialect& names)
 {
     it.remove(http::verdict_header);
     it.remove(http::reason_header);
-    it.remove(run_header);
+    it.remove(names.not_run);
 }
 
-deadline_value read_deadline(const http::headers& it)
+deadline_value read_deadline(const http::headers& it, const std::string& name)
 {
-    if (!it.has(deadline_header)) {
+    if (!it.has(name)) {
         return {};
     }
     constexpr std::size_t most_digits = 12;
-    const std::string text = it.get(deadline_header);
+    const std::string text = it.get(name);
     const bool digits = !text.empty() && text.size() <= most_digits &&
                         std::all_of(text.begin(), text.end(), [](unsigned char c) {
                             return absl::ascii_isdigit(c);
--- a/src/request/live_request_priv.hpp
+++ b/src/request/live_request_priv.hpp
@@ -25,6 +25,7 @@
     request_id id;
     std::shared_ptr<const http::request> message;
     core::caller_id caller;
+    std::string correlation; ///< Id that the caller gave the request, may be empty.
     /// Keeps the settings below alive while the configuration changes.
     std::shared_ptr<const route_table> routes;
     const config::route_settings* route = nullptr;
--- a/src/request/messages.cpp
+++ b/src/request/messages.cpp
@@ -9,6 +9,10 @@
 namespace cuminpitch::request {
 namespace {
 
+/// A server that is there answers a connection in a few ms. A lost packet is repeated
+/// after a second; another server is asked sooner, as nothing was sent.
+constexpr absl::Duration shared_pool_connect_timeout = absl::Milliseconds(300);
+
 outgoing to_any(const live_request& it, absl::Duration remaining)
 {
     outgoing out;
@@ -23,10 +27,10 @@
     return out;
 }
 
-void set_deadline(http::headers& it, absl::Duration remaining)
+void set_deadline(http::headers& it, absl::Duration remaining, const dialect& names)
 {
     const auto ms = std::max<std::int64_t>(1, absl::ToInt64Milliseconds(remaining));
-    it.set(std::string(deadline_header), std::to_string(ms));
+    it.set(names.deadline, std::to_string(ms));
 }
 
 http::headers passed_on(const live_request& it, const http::response& response)
@@ -40,30 +44,44 @@
 
 } // namespace
 
-outgoing
-to_server(const live_request& it, const server_view& server, absl::Duration remaining)
+outgoing to_server(
+    const live_request& it,
+    const server_view& server,
+    absl::Duration remaining,
+    const dialect& names)
 {
     outgoing out = to_any(it, remaining);
     out.to = server.at;
-    set_deadline(out.headers, remaining);
+    out.accepts_close_delimited = names.accepts_close_delimited;
+    set_deadline(out.headers, remaining, names);
+    if (!names.target_server.empty()) {
+        out.headers.set(names.target_server, server.id.str());
+    }
+    if (it.pool->every_entry) {
+        out.connect_timeout = shared_pool_connect_timeout;
+    }
     return out;
 }
 
-outgoing
-to_entry(const live_request& it, const entry_view& entry, absl::Duration remaining)
+outgoing to_entry(
+    const live_request& it,
+    const entry_view& entry,
+    absl::Duration remaining,
+    const dialect& names)
 {
     outgoing out = to_any(it, remaining);
     out.to = entry.http;
-    set_deadline(out.headers, remaining - std::min(hop_margin, remaining / 10));
+    set_deadline(out.headers, remaining - std::min(hop_margin, remaining / 10), names);
     out.headers.set(std::string(hop_header), "1");
     out.headers.set(std::string(caller_header), it.caller.str());
     return out;
 }
 
-http::response from_server(const live_request& it, http::response response)
+http::response
+from_server(const live_request& it, http::response response, const dialect& names)
 {
     response.headers = passed_on(it, response);
-    strip_fleet_headers(response.headers);
+    strip_fleet_headers(response.headers, names);
     response.headers.set(
         std::string(http::verdict_header), core::to_string(core::verdict::ran));
     return response;
@@ -85,7 +103,8 @@
     out.body = it.message->body;
     out.timeout = it.timeout;
     // A connection takes about 1 ms. If none is made, time is left for another server.
-    out.connect_timeout = std::min(out.connect_timeout, it.timeout / 4);
+    out.connect_timeout = std::min(it.connect_timeout, it.timeout / 4);
+    out.accepts_close_delimited = it.accepts_close_delimited;
     out.fresh_connection = it.fresh_connection;
     out.max_response_bytes = it.max_response_bytes;
     return out;
--- a/src/request/messages_priv.hpp
+++ b/src/request/messages_priv.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cuminpitch/request/dialect.hpp"
 #include "cuminpitch/request/events.hpp"
 #include "live_request_priv.hpp"
 
@@ -10,15 +11,22 @@
 inline constexpr absl::Duration hop_margin = absl::Milliseconds(20);
 
 /// The request as sent to a backend server.
-outgoing
-to_server(const live_request& it, const server_view& server, absl::Duration remaining);
+outgoing to_server(
+    const live_request& it,
+    const server_view& server,
+    absl::Duration remaining,
+    const dialect& names);
 
 /// The request as sent to another entry.
-outgoing
-to_entry(const live_request& it, const entry_view& entry, absl::Duration remaining);
+outgoing to_entry(
+    const live_request& it,
+    const entry_view& entry,
+    absl::Duration remaining,
+    const dialect& names);
 
 /// The response of a backend server as passed on to the caller.
-http::response from_server(const live_request& it, http::response response);
+http::response
+from_server(const live_request& it, http::response response, const dialect& names);
 
 /// The response or refusal of another entry as passed on to the caller.
 http::response from_entry(const live_request& it, http::response response);
--- a/src/request/pool_state.cpp
+++ b/src/request/pool_state.cpp
@@ -41,6 +41,7 @@
     }
     servers_ = std::move(next);
     budget_.set_percent(it.settings.retry_percent);
+    budget_.set_follows_load(it.settings.every_entry);
     known_ = std::move(it);
 }
 
@@ -57,9 +58,9 @@
 {
     const server_slots* best = nullptr;
     std::uint64_t ties = 0;
-    // Compares in_flight / slots without division.
-    const auto load = [](const server_slots& a, const server_slots& b) {
-        return std::uint64_t{a.in_flight} * b.view.slots;
+    const auto load = [](const server_slots& server) {
+        return static_cast<double>(server.in_flight) / server.view.slots +
+               server.view.penalty;
     };
     for (const auto& server : servers_) {
         const std::uint32_t most = server.view.probation ? 1 : server.view.slots;
@@ -70,9 +71,8 @@
             best != nullptr && best->view.suspected != server.view.suspected;
         const bool is_better =
             best == nullptr ||
-            (differs ? best->view.suspected : load(server, *best) < load(*best, server));
-        const bool is_tie =
-            best != nullptr && !differs && load(server, *best) == load(*best, server);
+            (differs ? best->view.suspected : load(server) < load(*best));
+        const bool is_tie = best != nullptr && !differs && load(server) == load(*best);
         if (is_better) {
             ties = 0;
         }
--- a/src/request/refusal_reason.cpp
+++ b/src/request/refusal_reason.cpp
@@ -66,6 +66,12 @@
         return {"response-too-large", bad_gateway, retry_class::unknown_outcome};
     case refusal_reason::malformed_response:
         return {"malformed-response", bad_gateway, retry_class::unknown_outcome};
+    case refusal_reason::misdirected:
+        return {"misdirected", unavailable, retry_class::later};
+    case refusal_reason::server_failed:
+        return {"server-failed", bad_gateway, retry_class::unknown_outcome};
+    case refusal_reason::attempts_spent:
+        return {"attempts-spent", unavailable, retry_class::later};
     case refusal_reason::hop_unreachable:
         return {"hop-unreachable", unavailable, retry_class::other_entry};
     case refusal_reason::hop_failed:
--- a/src/request/retry_budget_priv.hpp
+++ b/src/request/retry_budget_priv.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <absl/time/time.h>
+
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 
 namespace cuminpitch::request {
@@ -20,14 +23,29 @@
         if (percent == 0) {
             tokens_ = 0;
         } else if (percent_ == 0) {
-            tokens_ = burst;
+            tokens_ = follows_load_ ? 1 : burst;
         }
         percent_ = percent;
     }
 
-    void count_request()
+    /// Where many entries share a pool, a fixed burst at each of them would add up. The
+    /// bucket then holds what the requests of about `load_memory` have earned.
+    void set_follows_load(bool it)
+    {
+        follows_load_ = it;
+        if (it) {
+            tokens_ = std::min(tokens_, capacity());
+        }
+    }
+
+    void count_request(absl::Time now)
     {
-        tokens_ = std::min(burst, tokens_ + static_cast<double>(percent_) / 100);
+        if (follows_load_) {
+            const double age = absl::FDivDuration(now - counted_, load_memory);
+            recent_ = recent_ * std::exp(-std::max(age, 0.0)) + 1;
+            counted_ = now;
+        }
+        tokens_ = std::min(capacity(), tokens_ + static_cast<double>(percent_) / 100);
     }
 
     bool allows() const { return tokens_ >= 1; }
@@ -43,8 +61,19 @@
     }
 
 private:
+    /// A quarter of the window over which the users' platforms count retries.
+    static constexpr absl::Duration load_memory = absl::Milliseconds(2500);
+
+    double capacity() const
+    {
+        return follows_load_ ? std::max(1.0, recent_ * percent_ / 100) : burst;
+    }
+
     std::uint32_t percent_ = 0;
     double tokens_ = 0;
+    bool follows_load_ = false;
+    double recent_ = 0;
+    absl::Time counted_ = absl::UnixEpoch();
 };
 
 } // namespace cuminpitch::request
--- a/src/request/retry_filter.cpp
+++ b/src/request/retry_filter.cpp
@@ -10,6 +10,10 @@
 namespace {
 
 constexpr int too_many_requests = 429;
+constexpr int first_success = 200;
+constexpr int first_redirect = 300;
+constexpr int request_timeout = 408;
+constexpr int misdirected_request = 421;
 constexpr int internal_error = 500;
 constexpr int bad_gateway = 502;
 constexpr int unavailable = 503;
@@ -27,10 +31,57 @@
     return absl::Seconds(std::clamp(seconds, 0, longest_retry_after_s));
 }
 
-attempt_outcome judge_response(const http::response& it)
+bool says_not_run(const http::response& it, const dialect& names)
+{
+    return names.not_run_value.empty()
+               ? it.headers.has(names.not_run)
+               : it.headers.get(names.not_run) == names.not_run_value;
+}
+
+/// Whether the response belongs to the request. A server that refuses a request may not
+/// have read the header that it repeats otherwise; on a new connection there is no other
+/// request that such a response could belong to.
+bool belongs(
+    const http::client_result& it, const dialect& names, const std::string& correlation)
+{
+    if (names.correlation.empty() || correlation.empty()) {
+        return true;
+    }
+    const std::string repeated = it.response.headers.get(names.correlation);
+    return repeated == correlation ||
+           (repeated.empty() && !it.reused_connection && says_not_run(it.response, names));
+}
+
+/// Why a complete response can't be passed on, if it can't.
+std::optional<refusal_reason>
+why_unusable(const http::response& it, const dialect& names)
+{
+    const bool is_success = it.status >= first_success && it.status < first_redirect;
+    if (is_success && !names.success_proof.empty() &&
+        !it.headers.has(names.success_proof)) {
+        return refusal_reason::malformed_response;
+    }
+    const bool promises_not_run = it.status == request_timeout ||
+                                  it.status == misdirected_request ||
+                                  it.status == too_many_requests ||
+                                  it.status == unavailable;
+    if (names.unavailable_means_not_run && promises_not_run) {
+        return refusal_reason::server_failed;
+    }
+    return std::nullopt;
+}
+
+attempt_outcome judge_response(const http::response& it, const dialect& names)
 {
     attempt_outcome out;
-    if (it.headers.get(run_header) == "not-run") {
+    if (!names.target_server.empty() && it.status == names.misdirected_status) {
+        out.failure = refusal_reason::misdirected;
+        out.verdict = core::verdict::not_run;
+        out.evidence = observation::kind::failure;
+        out.is_misdirected = true;
+        return out;
+    }
+    if (says_not_run(it, names)) {
         out.failure = refusal_reason::shed;
         out.verdict = core::verdict::not_run;
         out.evidence = observation::kind::shed;
@@ -46,6 +97,12 @@
     } else if (it.status < first_client_error) {
         out.evidence = observation::kind::success;
     }
+    if (const auto why = why_unusable(it, names)) {
+        out.failure = why;
+        out.verdict = core::verdict::may_have_run;
+        out.evidence = observation::kind::failure;
+        return out;
+    }
     out.is_failure_status = it.status == internal_error || it.status == bad_gateway ||
                             it.status == unavailable || it.status == gateway_timeout;
     return out;
@@ -74,13 +131,24 @@
 
 } // namespace
 
-attempt_outcome
-judge(const http::client_result& it, absl::Duration limit, absl::Duration usual)
+attempt_outcome judge(
+    const http::client_result& it,
+    absl::Duration limit,
+    absl::Duration usual,
+    const dialect& names,
+    const std::string& correlation)
 {
+    attempt_outcome out;
     if (it.failure == http::failure::none) {
-        return judge_response(it.response);
+        if (belongs(it, names, correlation)) {
+            return judge_response(it.response, names);
+        }
+        out.failure = refusal_reason::malformed_response;
+        out.verdict = core::verdict::may_have_run;
+        out.evidence = observation::kind::failure;
+        return out;
     }
-    attempt_outcome out;
+    out.is_about_path = it.connect_timed_out;
     // Without a complete response the request can't count as run.
     out.verdict = it.verdict == core::verdict::not_run ? core::verdict::not_run
                                                        : core::verdict::may_have_run;
--- a/src/request/retry_filter_priv.hpp
+++ b/src/request/retry_filter_priv.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "cuminpitch/request/dialect.hpp"
 #include "cuminpitch/request/events.hpp"
 #include "live_request_priv.hpp"
 
 #include <optional>
+#include <string>
 
 namespace cuminpitch::request {
 
@@ -17,12 +19,19 @@
     core::verdict verdict = core::verdict::ran;
     observation::kind evidence = observation::kind::none;
     absl::Duration retry_after = absl::ZeroDuration();
+    bool is_about_path = false;  ///< See observation.
+    bool is_misdirected = false; ///< See observation.
 };
 
 /// `usual` is the pool's usual service time: a time limit below twice that says nothing
-/// about the server.
-attempt_outcome
-judge(const http::client_result& it, absl::Duration limit, absl::Duration usual);
+/// about the server. `correlation` is the request's value of the header that the server
+/// repeats.
+attempt_outcome judge(
+    const http::client_result& it,
+    absl::Duration limit,
+    absl::Duration usual,
+    const dialect& names = {},
+    const std::string& correlation = {});
 
 /// Whether the rules of verdict and route allow to send the request again. Deadline,
 /// budget and servers are up to the caller.
--- a/src/request/route_filter.cpp
+++ b/src/request/route_filter.cpp
@@ -20,7 +20,9 @@
     }
     it.routes = at.routes;
     it.route = found.route;
-    it.pool = found.pool;
+    it.pool = found.pool != nullptr
+                  ? found.pool
+                  : found.parts[at.splits.choose(found.route->id, found.parts)].pool;
     return std::nullopt;
 }
 
--- a/src/request/route_table.cpp
+++ b/src/request/route_table.cpp
@@ -43,17 +43,30 @@
     : declared_(std::move(declared))
 {
     for (const auto& [id, route] : declared_->routes) {
+        match found{&route, nullptr, {}};
         const auto pool = declared_->pools.find(route.pool);
-        if (pool == declared_->pools.end()) {
+        if (pool != declared_->pools.end()) {
+            found.pool = &pool->second;
+        }
+        for (const auto& part : route.split) {
+            const auto its_pool = declared_->pools.find(part.pool);
+            if (its_pool != declared_->pools.end()) {
+                found.parts.push_back({&its_pool->second, part.weight});
+            }
+        }
+        if (found.pool == nullptr && found.parts.empty()) {
             continue;
         }
         const std::string prefix(without_final_slash(route.path_prefix));
         auto& host = hosts_[plain_host(route.host)];
         host.longest_prefix = std::max(host.longest_prefix, prefix.size());
-        host.by_prefix[prefix].push_back({&route, &pool->second});
         if (route.idempotent) {
             idempotent_pools_.insert(route.pool);
+            for (const auto& part : found.parts) {
+                idempotent_pools_.insert(part.pool->id);
+            }
         }
+        host.by_prefix[prefix].push_back(std::move(found));
     }
     for (auto& [name, host] : hosts_) {
         for (auto& [prefix, routes] : host.by_prefix) {
--- /dev/null
+++ b/src/request/split_balancer_priv.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "cuminpitch/core/random.hpp"
+#include "cuminpitch/request/route_table.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstddef>
+#include <vector>
+
+namespace cuminpitch::request {
+
+/// Divides the requests of a route among its parts by weight: each request goes to the
+/// part that is furthest behind its share, so that the shares hold for few requests too.
+/// Starts at random, or many entries with few requests each would prefer the same part.
+class split_balancer
+{
+public:
+    explicit split_balancer(core::random_source random) : random_(random) {}
+
+    /// Index of the part that takes the next request of the route.
+    std::size_t choose(const core::route_id& route, const std::vector<route_part>& parts);
+
+private:
+    struct shares
+    {
+        std::vector<double> weights;
+        std::vector<double> behind; ///< Requests that each part has yet to get.
+    };
+
+    core::random_source random_;
+    absl::flat_hash_map<core::route_id, shares> routes_;
+};
+
+} // namespace cuminpitch::request
--- a/src/wire/control_codec.cpp
+++ b/src/wire/control_codec.cpp
@@ -57,6 +57,25 @@
     return result;
 }
 
+fb::serverT to_wire(const model::server_record& it)
+{
+    const auto& from = it.announcement;
+    fb::serverT result;
+    result.team = it.pool.team.str();
+    result.pool = it.pool.name;
+    result.id = from.server.str();
+    result.incarnation = from.incarnation;
+    result.sequence = from.sequence;
+    result.state = static_cast<std::uint8_t>(from.state);
+    result.address = endpoint_pointer(from.address);
+    result.failure_domain = from.failure_domain.str();
+    result.slots = from.slots;
+    result.connections = from.connections;
+    result.cold_start_ms =
+        static_cast<std::uint32_t>(absl::ToInt64Milliseconds(from.cold_start));
+    return result;
+}
+
 struct command_writer
 {
     fb::command_bodyUnion operator()(const model::change& it) const
@@ -65,6 +84,10 @@
         body.id = it.id.str();
         body.base_revision = it.base_revision.value();
         body.time_ms = it.time_ms;
+        if (it.document) {
+            body.document_number = it.document->number;
+            body.document_source = it.document->source;
+        }
         for (const auto& op : it.operations) {
             auto item = std::make_unique<fb::operationT>();
             item->path = op.path;
@@ -96,6 +119,12 @@
         body.forced = it.forced;
         return wrap(std::move(body));
     }
+    fb::command_bodyUnion operator()(const model::server_announced& it) const
+    {
+        fb::server_announcedT body;
+        body.announced = std::make_unique<fb::serverT>(to_wire(it.server));
+        return wrap(std::move(body));
+    }
 
 private:
     template <class T>
@@ -147,8 +176,21 @@
         assignments.push_back(
             fb::Createassignment(to, team, name, list.list_revision.value(), members));
     }
+    std::vector<flatbuffers::Offset<fb::server>> servers;
+    servers.reserve(it.servers.size());
+    for (const auto& [id, record] : it.servers) {
+        const auto native = to_wire(record);
+        servers.push_back(fb::server::Pack(to, &native));
+    }
     return fb::CreatecontentsDirect(
-        to, it.revision.value(), &settings, &entries, &assignments);
+        to,
+        it.revision.value(),
+        &settings,
+        &entries,
+        &assignments,
+        &servers,
+        it.document.number,
+        it.document.source.c_str());
 }
 
 struct written_update
@@ -186,6 +228,7 @@
         body.entry = to_wire(it.entry, it.incarnation);
         body.in_force = it.in_force.value();
         body.draining = it.draining;
+        body.control_hash = it.control_hash;
         for (const auto& contact : it.contacts) {
             auto item = std::make_unique<fb::contact_ageT>();
             item->instance = contact.instance.str();
@@ -205,8 +248,20 @@
             const auto id = to.CreateString(it.leader->id.str());
             leader = fb::Createleader_address(to, id, endpoint);
         }
-        const auto at = fb::Createsync_response(
-            to, newer.type, newer.body, it.current.value(), leader, it.confirmed);
+        std::vector<flatbuffers::Offset<fb::endpoint_fields>> control;
+        for (const auto& endpoint : it.control) {
+            const auto native = to_wire(endpoint);
+            control.push_back(fb::endpoint_fields::Pack(to, &native));
+        }
+        const auto at = fb::Createsync_responseDirect(
+            to,
+            newer.type,
+            newer.body,
+            it.current.value(),
+            leader,
+            it.confirmed,
+            absl::ToInt64Microseconds(it.age),
+            control.empty() ? nullptr : &control);
         return fb::Createmessage(to, fb::message_body::sync_response, at.Union());
     }
     flatbuffers::Offset<fb::message> operator()(const model::state_request& it) const
@@ -214,6 +269,28 @@
         const auto at = fb::Createstate_request(to, it.in_force.value());
         return fb::Createmessage(to, fb::message_body::state_request, at.Union());
     }
+    flatbuffers::Offset<fb::message> operator()(const model::presence& it) const
+    {
+        fb::presenceT body;
+        body.entry = to_wire(it.entry, it.incarnation);
+        body.ready = it.ready;
+        const auto at = fb::presence::Pack(to, &body);
+        return fb::Createmessage(to, fb::message_body::presence, at.Union());
+    }
+    flatbuffers::Offset<fb::message> operator()(const model::pool_evidence& it) const
+    {
+        fb::pool_evidenceT body;
+        body.team = it.pool.team.str();
+        body.pool = it.pool.name;
+        for (const auto& failures : it.failures) {
+            auto item = std::make_unique<fb::server_failuresT>();
+            item->id = failures.server.str();
+            item->count = failures.count;
+            body.failures.push_back(std::move(item));
+        }
+        const auto at = fb::pool_evidence::Pack(to, &body);
+        return fb::Createmessage(to, fb::message_body::pool_evidence, at.Union());
+    }
     flatbuffers::Offset<fb::message> operator()(const model::state_response& it) const
     {
         flatbuffers::Offset<fb::contents> contents;
@@ -301,12 +378,46 @@
     return true;
 }
 
+std::string text_of(const flatbuffers::String* in)
+{
+    return in == nullptr ? std::string() : in->str();
+}
+
+bool read(const fb::server& in, model::server_record& out)
+{
+    auto& it = out.announcement;
+    out.pool = {core::team_id(in.team()->str()), in.pool()->str()};
+    it.server = core::server_id(in.id()->str());
+    it.incarnation = in.incarnation();
+    it.sequence = in.sequence();
+    it.state = static_cast<upstream::availability>(in.state());
+    it.failure_domain = core::failure_domain_id(in.failure_domain()->str());
+    it.slots = in.slots();
+    it.connections = in.connections();
+    it.cold_start = absl::Milliseconds(in.cold_start_ms());
+    return !it.server.empty() && it.state <= upstream::availability::gone &&
+           read(*in.address(), it.address);
+}
+
+bool read(const fb::server_announced& in, model::command& out)
+{
+    model::server_announced it;
+    const bool ok = read(*in.announced(), it.server);
+    out = std::move(it);
+    return ok;
+}
+
 bool read(const fb::change& in, model::command& out)
 {
     model::change it;
     it.id = core::change_id(in.id()->str());
     it.base_revision = core::revision(in.base_revision());
     it.time_ms = in.time_ms();
+    if (in.document_number() != 0) {
+        it.document.emplace();
+        it.document->number = in.document_number();
+        it.document->source = text_of(in.document_source());
+    }
     for (const auto* op : *in.operations()) {
         auto& item = it.operations.emplace_back();
         item.path = op->path()->str();
@@ -356,6 +467,8 @@
         return read(*in.body_as_entry_removed(), out);
     case fb::command_body::set_assignment:
         return read(*in.body_as_set_assignment(), out);
+    case fb::command_body::server_announced:
+        return read(*in.body_as_server_announced(), out);
     default:
         return false;
     }
@@ -396,6 +509,18 @@
             return false;
         }
     }
+    if (in.servers() != nullptr) {
+        for (const auto* it : *in.servers()) {
+            model::server_record record;
+            if (!read(*it, record)) {
+                return false;
+            }
+            const auto id = record.announcement.server;
+            out.servers.insert_or_assign(id, std::move(record));
+        }
+    }
+    out.document.number = in.document_number();
+    out.document.source = text_of(in.document_source());
     return true;
 }
 
@@ -424,6 +549,7 @@
     const bool ok = read(*in.entry(), it.entry, it.incarnation);
     it.in_force = core::revision(in.in_force());
     it.draining = in.draining();
+    it.control_hash = in.control_hash();
     for (const auto* contact : *in.contacts()) {
         it.contacts.push_back(
             {core::instance_id(contact->instance()->str()),
@@ -444,6 +570,12 @@
         it.leader->id = core::instance_id(leader->id()->str());
         ok = ok && read(*leader->internal(), it.leader->internal);
     }
+    it.age = absl::Microseconds(in.age_us());
+    if (in.control() != nullptr) {
+        for (const auto* endpoint : *in.control()) {
+            ok = ok && read(*endpoint, it.control.emplace_back());
+        }
+    }
     out = std::move(it);
     return ok;
 }
@@ -468,6 +600,27 @@
     return ok;
 }
 
+bool read(const fb::presence& in, model::message& out)
+{
+    model::presence it;
+    const bool ok = read(*in.entry(), it.entry, it.incarnation);
+    it.ready = in.ready();
+    out = std::move(it);
+    return ok;
+}
+
+bool read(const fb::pool_evidence& in, model::message& out)
+{
+    model::pool_evidence it;
+    it.pool = {core::team_id(in.team()->str()), in.pool()->str()};
+    for (const auto* failures : *in.failures()) {
+        it.failures.push_back(
+            {core::server_id(failures->id()->str()), failures->count()});
+    }
+    out = std::move(it);
+    return true;
+}
+
 bool read(const fb::message& in, model::message& out)
 {
     switch (in.body_type()) {
@@ -479,6 +632,10 @@
         return read(*in.body_as_state_request(), out);
     case fb::message_body::state_response:
         return read(*in.body_as_state_response(), out);
+    case fb::message_body::presence:
+        return read(*in.body_as_presence(), out);
+    case fb::message_body::pool_evidence:
+        return read(*in.body_as_pool_evidence(), out);
     default:
         return false;
     }
--- a/src/wire/group_codec.cpp
+++ b/src/wire/group_codec.cpp
@@ -15,6 +15,10 @@
 std::pair<group::body, bytes_offset> add_body(
     flatbuffers::FlatBufferBuilder& builder, const cuminpitch::control::group_hello& it)
 {
+    std::vector<flatbuffers::Offset<flatbuffers::String>> known;
+    for (const auto& endpoint : it.known) {
+        known.push_back(builder.CreateString(endpoint.str()));
+    }
     const auto body = group::CreatehelloDirect(
         builder,
         it.identity.str().c_str(),
@@ -25,7 +29,8 @@
         it.group.value(),
         it.revision.value(),
         absl::ToUnixMicros(it.clock),
-        it.echo ? absl::ToUnixMicros(*it.echo) : no_echo);
+        it.echo ? absl::ToUnixMicros(*it.echo) : no_echo,
+        &known);
     return {group::body::hello, body.Union()};
 }
 
@@ -59,6 +64,15 @@
     if (it.echo_us() != no_echo) {
         result.echo = absl::FromUnixMicros(it.echo_us());
     }
+    if (it.known() != nullptr) {
+        for (const auto* text : *it.known()) {
+            const auto endpoint = core::parse_endpoint(text->str());
+            if (!endpoint) {
+                return make_error_code(core::errc::malformed_message);
+            }
+            result.known.push_back(*endpoint);
+        }
+    }
     return cuminpitch::control::group_message(std::move(result));
 }
 
