--- a/tests/config/compile_test.cpp
+++ b/tests/config/compile_test.cpp
@@ -84,6 +84,7 @@
         "/x",
         {"GET", "HEAD"},
         {team, "p"},
+        {},
         true,
         absl::Milliseconds(1500)};
     const auto compiled = compile(tree);
--- a/tests/support/memory_fleet.cpp
+++ b/tests/support/memory_fleet.cpp
@@ -553,6 +553,11 @@
     log(at.options.self.id.str(), it.event, it.fields);
 }
 
+void memory_fleet::run(entry_process& at, entry::action::stop_listening&)
+{
+    log(at.options.self.id.str(), "stop listening", {});
+}
+
 void memory_fleet::run(entry_process& at, entry::action::exit&)
 {
     log(at.options.self.id.str(), "exit", {});
@@ -686,6 +691,13 @@
     }
 }
 
+void memory_fleet::run(control_process& at, control::action::answer_call& it)
+{
+    // No caller of this fleet makes such calls.
+    log(at.options.id.str(), "answered a call", {});
+    static_cast<void>(it);
+}
+
 void memory_fleet::run(control_process& at, control::action::send_frame& it)
 {
     send({at.options.id, at.options.internal}, it.to, std::move(it.message));
--- a/tests/support/memory_fleet.hpp
+++ b/tests/support/memory_fleet.hpp
@@ -196,12 +196,14 @@
     void run(entry_process& at, entry::action::cancel_call& it);
     void run(entry_process& at, entry::action::send_frame& it);
     void run(entry_process& at, entry::action::write_log& it);
+    void run(entry_process& at, entry::action::stop_listening& it);
     void run(entry_process& at, entry::action::exit& it);
     void run(control_process& at, consensus::write_hard_state& it);
     void run(control_process& at, consensus::write_entries& it);
     void run(control_process& at, consensus::write_snapshot& it);
     void run(control_process& at, consensus::sync_writes& it);
     void run(control_process& at, control::action::respond& it);
+    void run(control_process& at, control::action::answer_call& it);
     void run(control_process& at, control::action::send_frame& it);
     void run(control_process& at, control::action::form_group& it);
     void run(control_process& at, control::action::write_log& it);
