Cut bytes between failure domains, remember failures longer, leave impaired paths

Cause: reports named all contacts twice a second and were passed on each time; every entry counted as active; one far send in five; each gray episode cost two or three requests as a failure was forgotten in 1.5 s; an entry that loses packets kept its callers. Ruled out: the data path as the main source of bytes (20% of sends, a quarter of the bytes).

--- a/include/cuminpitch/control/node.hpp
+++ b/include/cuminpitch/control/node.hpp
@@ -38,9 +38,11 @@
     absl::Duration member_interval = absl::Milliseconds(50);
     /// Entries in an answer to callers at most.
     std::size_t entries_per_answer = 3;
-    /// An entry that was not heard from for this long is not named to callers: three
-    /// intervals of its presence.
-    absl::Duration presence_timeout = absl::Milliseconds(1600);
+    /// An entry that was not heard from for this long is not named to callers: two and a
+    /// half intervals of its presence.
+    absl::Duration presence_timeout = absl::Milliseconds(2600);
+    /// A follower passes reports of an entry on to the leader this often at most.
+    absl::Duration relay_interval;
     /// An API call without an outcome by then is answered as unavailable, before its
     /// caller gives it up after a second.
     absl::Duration call_timeout = absl::Milliseconds(900);
--- a/include/cuminpitch/control/sync.hpp
+++ b/include/cuminpitch/control/sync.hpp
@@ -69,6 +69,8 @@
     entry_record entry;
     std::uint64_t incarnation = 0;
     bool ready = false; ///< Callers may connect to it.
+    /// Its connections to servers get lost; callers should rather use others.
+    bool impaired = false;
 
     friend bool operator==(const presence&, const presence&) = default;
 };
--- a/include/cuminpitch/entry/node.hpp
+++ b/include/cuminpitch/entry/node.hpp
@@ -43,6 +43,8 @@
     /// Time between presences, by which control names this entry to callers; none are
     /// sent if infinite.
     absl::Duration presence_interval = absl::InfiniteDuration();
+    /// Time between reports to control that name the contacts of this entry; zero: each.
+    absl::Duration contacts_interval;
     /// During a planned stop new requests are taken for this long; `keep` and a margin if
     /// not set.
     std::optional<absl::Duration> stop_grace;
--- /dev/null
+++ b/include/cuminpitch/health/path_monitor.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "cuminpitch/core/ids.hpp"
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <deque>
+
+namespace cuminpitch::health {
+
+struct path_monitor_options
+{
+    absl::Duration window = absl::Seconds(3);
+    /// Part of the attempts in the window that got no connection, from which on the fault
+    /// is taken to be this entry's. A path that loses three packets in ten prevents half
+    /// of the connections.
+    double impaired_part = 0.25;
+    std::size_t least_timeouts = 4;
+    std::size_t least_servers = 3; ///< With a timeout.
+    /// How long it counts as impaired after the last such finding: callers keep the answer
+    /// that names other entries for about as long.
+    absl::Duration hold = absl::Seconds(4);
+};
+
+/// Tells whether connections from this entry to servers get lost on the way, whichever
+/// server it is. Servers that are down are avoided after one attempt each, so they soon
+/// make up no part of the attempts.
+class path_monitor
+{
+public:
+    explicit path_monitor(path_monitor_options options = {}) : options_(options) {}
+
+    void count(absl::Time now, const core::server_id& server, bool timed_out);
+    bool is_impaired(absl::Time now) const { return now < impaired_until_; }
+
+private:
+    struct attempt
+    {
+        absl::Time at;
+        core::server_id server;
+        bool timed_out = false;
+    };
+
+    path_monitor_options options_;
+    std::deque<attempt> attempts_;
+    absl::Time impaired_until_ = absl::InfinitePast();
+};
+
+} // namespace cuminpitch::health
--- a/include/cuminpitch/health/suspicion.hpp
+++ b/include/cuminpitch/health/suspicion.hpp
@@ -11,16 +11,16 @@
 
 struct suspicion_options
 {
-    /// Time after which a failure counts half. A server that fails a part of its requests
-    /// for seconds and then recovers is the usual gray failure.
-    absl::Duration half_life = absl::Milliseconds(1500);
+    /// Time after which a failure counts half. Gray servers fail a part of their requests
+    /// for seconds, recover and fail again, so a failure is remembered for longer.
+    absl::Duration half_life = absl::Seconds(5);
     /// Part of the suspicion that is left after a success.
     double kept_by_success = 0.6;
     /// Suspicion of a failure that followed others; the first counts 1.
     double repeated_failure = 2;
     /// Suspicion at most, so that a server that recovered is tried again after a few half
     /// lives.
-    double limit = 6;
+    double limit = 4;
     /// Suspicion for being shed: the server is full, and other entries use it too.
     double shed = 0.25;
 };
--- a/include/cuminpitch/request/events.hpp
+++ b/include/cuminpitch/request/events.hpp
@@ -31,9 +31,12 @@
     std::uint32_t slots = 0; ///< This entry's share, after the cold-start ramp.
     bool suspected = false;  ///< Chosen last.
     bool probation = false;  ///< One request at a time, idempotent if the pool has such.
-    /// Added to the used part of its slots where servers are compared: for recent
-    /// failures, a cold start, or the distance to it.
+    /// Added to the used part of its slots where servers are compared: for a cold start or
+    /// the distance to it.
     double penalty = 0;
+    /// Added for recent failures; less for an idempotent request, which may find out
+    /// whether the server is well again.
+    double suspicion = 0;
 };
 
 /// An assigned entry of a pool, other than this one.
--- a/src/control/entry_roster.cpp
+++ b/src/control/entry_roster.cpp
@@ -12,7 +12,7 @@
     if (it.incarnation < known.incarnation) {
         return;
     }
-    known = {it.entry, it.incarnation, it.ready, now};
+    known = {it.entry, it.incarnation, it.ready, it.impaired, now};
 }
 
 std::vector<entry_record> entry_roster::choose(
@@ -27,6 +27,10 @@
             usable.push_back(&it);
         }
     }
+    const auto is_whole = [](const entry* it) { return !it->impaired; };
+    if (std::any_of(usable.begin(), usable.end(), is_whole)) {
+        std::erase_if(usable, [&](const entry* it) { return !is_whole(it); });
+    }
     const auto is_near = [&](const entry* it) {
         return it->record.failure_domain == caller_domain;
     };
--- a/src/control/entry_roster_priv.hpp
+++ b/src/control/entry_roster_priv.hpp
@@ -18,7 +18,8 @@
     void receive(absl::Time now, const presence& it);
 
     /// Up to `most` ready entries heard from within `timeout`: those of the caller's
-    /// failure domain, or of all if it has none. The choice is the same at each control
+    /// failure domain, or of all if it has none; impaired ones only if there are no
+    /// others. The choice is the same at each control
     /// instance and changes little when an entry comes or goes, so that few entries carry
     /// the load of a domain and know what they have sent to its servers.
     std::vector<entry_record> choose(
@@ -33,6 +34,7 @@
         entry_record record;
         std::uint64_t incarnation = 0;
         bool ready = false;
+        bool impaired = false;
         absl::Time heard;
     };
 
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -118,6 +118,11 @@
     out_.emplace_back(action::send_frame{
         from.internal,
         net::frame{net::channel::control, wire::encode(message(response))}});
+    auto& next_relay = next_relays_[it.entry.id];
+    if (now_ < next_relay) {
+        return;
+    }
+    next_relay = now_ + options_.relay_interval;
     if (const auto to = leader()) {
         out_.emplace_back(action::send_frame{
             to->internal,
--- a/src/control/node_impl_priv.hpp
+++ b/src/control/node_impl_priv.hpp
@@ -156,6 +156,7 @@
     absl::btree_map<core::log_index, pending_call> calls_;
     std::deque<pending_read> reads_;
     entry_roster roster_;
+    absl::btree_map<core::instance_id, absl::Time> next_relays_;
     absl::Time leader_since_ = absl::InfiniteFuture();
     absl::Time next_member_change_ = absl::InfinitePast();
     /// Instances that others named, with the time.
--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -24,6 +24,10 @@
 
 constexpr absl::Duration tick_interval = absl::Milliseconds(10);
 
+/// With many entries, what control instances tell each other besides the log is rarer.
+constexpr absl::Duration relay_interval = absl::Seconds(2);
+constexpr absl::Duration hello_interval = absl::Seconds(1);
+
 /// Events that wait for the storage; further frames are dropped, as the network may.
 constexpr std::size_t inbox_limit = 100'000;
 
@@ -146,6 +150,10 @@
     std::erase(options.peers, settings_.internal);
     options.admits_members = !settings_.seeds.empty();
     options.entries_per_answer = settings_.entries_per_answer;
+    if (options.admits_members) {
+        options.relay_interval = relay_interval;
+        options.hello_interval = hello_interval;
+    }
     const core::random_source seed(random_());
     node_ = control::node::make(
         std::move(options),
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -23,7 +23,7 @@
 namespace cuminpitch::daemon {
 namespace {
 
-constexpr absl::Duration tick_interval = absl::Milliseconds(10);
+constexpr absl::Duration tick_interval = absl::Milliseconds(20);
 
 /// After the last request, responses may still be on their way to callers.
 constexpr absl::Duration flush_timeout = absl::Seconds(5);
@@ -32,7 +32,9 @@
 /// with the time to find another one changes are in force within two seconds.
 constexpr absl::Duration stale_state_limit = absl::Milliseconds(700);
 constexpr absl::Duration quick_sync_timeout = absl::Milliseconds(400);
-constexpr absl::Duration presence_interval = absl::Milliseconds(500);
+constexpr absl::Duration presence_interval = absl::Seconds(1);
+/// Contacts are only shown to operators, and are most of a report.
+constexpr absl::Duration contacts_interval = absl::Seconds(10);
 
 entry::node_options
 make_options(const core::entry_settings& settings, const entry_extras& extras)
@@ -49,6 +51,7 @@
         it.stale_state_limit = stale_state_limit;
         it.sync_timeout = quick_sync_timeout;
         it.presence_interval = presence_interval;
+        it.contacts_interval = contacts_interval;
     }
     if (settings.stop_grace) {
         it.stop_grace = *settings.stop_grace / 2;
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -24,7 +24,7 @@
 {
 }
 
-control::sync_request control_link::make_request(absl::Time now) const
+control::sync_request control_link::make_request(absl::Time now)
 {
     control::sync_request it;
     it.entry = options_.self;
@@ -32,8 +32,11 @@
     it.in_force = replica_.revision();
     it.draining = draining_;
     it.control_hash = control::control_hash_of(control_);
-    for (const auto& [id, heard] : last_heard_) {
-        it.contacts.push_back({id, now - heard});
+    if (now >= next_contacts_) {
+        next_contacts_ = now + options_.contacts_interval;
+        for (const auto& [id, heard] : last_heard_) {
+            it.contacts.push_back({id, now - heard});
+        }
     }
     return it;
 }
--- a/src/entry/control_link_priv.hpp
+++ b/src/entry/control_link_priv.hpp
@@ -49,7 +49,7 @@
     }
 
 private:
-    control::sync_request make_request(absl::Time now) const;
+    control::sync_request make_request(absl::Time now);
     void ask_peers(std::vector<node_action>& out);
     void
     on(absl::Time now,
@@ -85,6 +85,7 @@
     std::size_t next_peer_ = 0;
     absl::Time started_ = absl::InfiniteFuture();
     absl::Time next_request_ = absl::InfinitePast();
+    absl::Time next_contacts_ = absl::InfinitePast();
     absl::Time unanswered_since_ = absl::InfiniteFuture();
     absl::Time last_answer_ = absl::InfinitePast();
     absl::btree_map<core::instance_id, absl::Time> last_heard_;
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -36,7 +36,7 @@
     if (it.message->path.starts_with(own_prefix)) {
         answer_own(it.id, *it.message);
     } else {
-        last_request_ = now_;
+        ++recent_requests_;
         dispatch(request::request_received{it.id, std::move(it.message)});
     }
 }
@@ -124,7 +124,7 @@
     add(link_.tick(now_));
     refresh();
     tick_shared_pools();
-    if (now_ >= next_presence_) {
+    if (now_ >= next_presence_ || paths_.is_impaired(now_) != was_impaired_) {
         send_presence();
     }
     dispatch(request::tick{});
@@ -184,6 +184,7 @@
 {
     if (const auto pool = shared_pools_.find(it.what.pool); pool != shared_pools_.end()) {
         pool->second.observe(now_, it.what);
+        paths_.count(now_, it.what.server, it.what.is_about_path);
         if (it.what.what != request::observation::kind::success) {
             send_shared(it.what.pool);
         }
--- a/src/entry/node_impl_priv.hpp
+++ b/src/entry/node_impl_priv.hpp
@@ -3,6 +3,7 @@
 #include "cuminpitch/entry/node.hpp"
 
 #include "cuminpitch/core/random.hpp"
+#include "cuminpitch/health/path_monitor.hpp"
 #include "cuminpitch/request/dispatcher.hpp"
 #include "cuminpitch/request/route_table.hpp"
 #include "entry/control_link_priv.hpp"
@@ -161,7 +162,9 @@
     absl::btree_map<core::pool_id, shared_pool> shared_pools_;
     /// Entries that carry requests too, with the time of their last word.
     absl::btree_map<core::endpoint, absl::Time> active_peers_;
-    absl::Time last_request_ = absl::InfinitePast();
+    health::path_monitor paths_;
+    bool was_impaired_ = false;
+    std::uint64_t recent_requests_ = 0;
     absl::Time next_activity_ = absl::InfinitePast();
     absl::Time next_penalties_ = absl::InfinitePast();
     absl::Time next_presence_ = absl::InfinitePast();
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -7,7 +7,10 @@
 
 /// Penalties of servers halve in 1.5 s, so they change little in this time.
 constexpr absl::Duration penalty_interval = absl::Milliseconds(100);
-/// An entry that carried a request this recently shares what it sees of servers.
+/// An entry that carried this many requests within activity_interval shares what it sees
+/// of servers; one that carries fewer sees little.
+constexpr std::uint64_t active_requests = 15;
+/// An entry that doesn't say so for this long is no longer active.
 constexpr absl::Duration activity_memory = absl::Seconds(5);
 /// Time between two announcements that this entry carries requests.
 constexpr absl::Duration activity_interval = absl::Seconds(3);
@@ -138,9 +141,11 @@
         return;
     }
     share_evidence();
-    if (now_ >= next_activity_ && now_ - last_request_ < activity_memory) {
+    if (now_ >= next_activity_) {
         next_activity_ = now_ + activity_interval;
-        announce_activity();
+        if (std::exchange(recent_requests_, 0) >= active_requests) {
+            announce_activity();
+        }
     }
     if (now_ < next_penalties_) {
         return;
@@ -172,7 +177,7 @@
             continue;
         }
         for (const auto& [peer, heard] : active_peers_) {
-            if (now_ - heard < activity_interval + activity_memory) {
+            if (now_ - heard < activity_memory) {
                 out_.push_back(send_message(peer, *evidence));
             }
         }
@@ -195,7 +200,13 @@
     if (options_.presence_interval == absl::InfiniteDuration()) {
         return;
     }
-    const control::presence it{options_.self, options_.incarnation, is_ready()};
+    const bool is_impaired = paths_.is_impaired(now_);
+    if (is_impaired != std::exchange(was_impaired_, is_impaired)) {
+        log(telemetry::severity::warning,
+            is_impaired ? "paths to servers impaired" : "paths to servers recovered");
+    }
+    const control::presence it{
+        options_.self, options_.incarnation, is_ready(), is_impaired};
     for (const auto& to : link_.control()) {
         out_.push_back(send_message(to, it));
     }
--- a/src/entry/shared_pool.cpp
+++ b/src/entry/shared_pool.cpp
@@ -5,9 +5,10 @@
 namespace cuminpitch::entry {
 namespace {
 
-/// Penalty, in parts of its slots, of a server in another failure domain: one of four
-/// slots. A near server is preferred until it has that much more to do.
-constexpr double far_penalty = 0.25;
+/// Penalty, in parts of its slots, of a server in another failure domain. With two entries
+/// for the callers of a domain, a near server is full when each has sent it half of its
+/// slots; a far one is better from there on.
+constexpr double far_penalty = 0.5;
 /// Penalty of a server during its cold start, in which it takes about twice as long.
 constexpr double cold_penalty = 0.5;
 
@@ -56,7 +57,7 @@
 
 double shared_pool::penalty(absl::Time now, const server& it) const
 {
-    double result = suspicion_.level(now, it.record.announcement.server);
+    double result = 0;
     if (it.record.announcement.failure_domain != own_domain_) {
         result += far_penalty;
     }
@@ -83,6 +84,7 @@
         view.at = it.record.announcement.address;
         view.slots = std::max<std::uint32_t>(1, it.record.announcement.slots);
         view.penalty = penalty(now, it);
+        view.suspicion = suspicion_.level(now, id);
         out.servers.push_back(std::move(view));
     }
     return out;
--- a/src/request/dispatcher_answers.cpp
+++ b/src/request/dispatcher_answers.cpp
@@ -41,6 +41,7 @@
          {"limit_ms", absl::ToInt64Milliseconds(it.attempt_limit)},
          {"waited_ms", absl::ToInt64Milliseconds(now_ - it.received)},
          {"penalty", server.penalty},
+         {"suspicion", server.suspicion},
          {"pool_in_flight", static_cast<std::int64_t>(pool.in_flight())},
          {"servers", static_cast<std::int64_t>(pool.known().servers.size())},
          {"known_for_ms", absl::ToInt64Milliseconds(now_ - pool.known().as_of)},
--- a/src/request/dispatcher_attempts.cpp
+++ b/src/request/dispatcher_attempts.cpp
@@ -112,6 +112,7 @@
         pool.count_service_time(result.elapsed);
     }
     it.tried.push_back(it.server);
+    it.sends += outcome.failure == refusal_reason::connect_failed ? 0 : 1;
     leave_attempt(it);
     if (!outcome.failure && !(outcome.is_failure_status && it.route->idempotent)) {
         answer(
@@ -133,7 +134,10 @@
 
 bool dispatcher::impl::has_attempts_left(const live_request& it) const
 {
-    return !it.route->max_attempts || it.tried.size() < *it.route->max_attempts;
+    // A server to which no connection was made didn't get the request.
+    constexpr std::size_t most_connects = 6;
+    return it.tried.size() < most_connects &&
+           (!it.route->max_attempts || it.sends < *it.route->max_attempts);
 }
 
 bool dispatcher::impl::repeat_at_server(live_request& it, const attempt_outcome& outcome)
--- a/src/request/live_request_priv.hpp
+++ b/src/request/live_request_priv.hpp
@@ -46,6 +46,8 @@
     absl::Duration attempt_limit;
 
     std::vector<core::server_id> tried;
+    /// Servers among them that may have received it.
+    std::uint32_t sends = 0;
     std::vector<core::instance_id> tried_entries;
     /// Some earlier attempt may have been executed. Never becomes false again.
     bool may_have_run = false;
--- a/src/request/pool_state.cpp
+++ b/src/request/pool_state.cpp
@@ -8,6 +8,9 @@
 
 /// Weight of the newest service time in the running mean.
 constexpr double newest_weight = 0.05;
+/// An idempotent request that fails costs a retry, any other one is lost. So the former
+/// try a suspected server when it is a quarter as suspect as the latter would accept.
+constexpr double idempotent_suspicion_weight = 0.25;
 /// Fewer intervals between turns say too little.
 constexpr int least_pace_samples = 20;
 
@@ -58,9 +61,10 @@
 {
     const server_slots* best = nullptr;
     std::uint64_t ties = 0;
-    const auto load = [](const server_slots& server) {
+    const double weight = it.route->idempotent ? idempotent_suspicion_weight : 1;
+    const auto load = [weight](const server_slots& server) {
         return static_cast<double>(server.in_flight) / server.view.slots +
-               server.view.penalty;
+               server.view.penalty + weight * server.view.suspicion;
     };
     for (const auto& server : servers_) {
         const std::uint32_t most = server.view.probation ? 1 : server.view.slots;
--- a/src/wire/control_codec.cpp
+++ b/src/wire/control_codec.cpp
@@ -274,6 +274,7 @@
         fb::presenceT body;
         body.entry = to_wire(it.entry, it.incarnation);
         body.ready = it.ready;
+        body.impaired = it.impaired;
         const auto at = fb::presence::Pack(to, &body);
         return fb::Createmessage(to, fb::message_body::presence, at.Union());
     }
@@ -605,6 +606,7 @@
     model::presence it;
     const bool ok = read(*in.entry(), it.entry, it.incarnation);
     it.ready = in.ready();
+    it.impaired = in.impaired();
     out = std::move(it);
     return ok;
 }
