--- a/include/cuminpitch/control/node.hpp
+++ b/include/cuminpitch/control/node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cuminpitch/consensus/action.hpp"
+#include "cuminpitch/consensus/replica_options.hpp"
 #include "cuminpitch/consensus/storage.hpp"
 #include "cuminpitch/control/call.hpp"
 #include "cuminpitch/control/compile.hpp"
@@ -48,6 +49,7 @@
     absl::Duration call_timeout = absl::Milliseconds(900);
 
     absl::Duration hello_interval = absl::Milliseconds(500);
+    consensus::replica_options replica;
     /// An operator's change without an outcome by then is answered as unknown.
     absl::Duration proposal_timeout = absl::Seconds(5);
     /// A planned stop waits at most this long for another leader.
--- a/include/cuminpitch/entry/node.hpp
+++ b/include/cuminpitch/entry/node.hpp
@@ -30,6 +30,9 @@
     /// How long callers keep an answer about entries.
     absl::Duration keep = absl::Seconds(5);
     absl::Duration sync_interval = absl::Milliseconds(500);
+    /// The same, and the time after which another control instance is asked, before the
+    /// first state is there.
+    absl::Duration start_sync_interval = absl::Milliseconds(500);
     /// An unanswered control instance is replaced by the next one after this time.
     absl::Duration sync_timeout = absl::Seconds(1);
     /// Without contact to control for this time after the start, peers are asked.
@@ -51,6 +54,9 @@
     /// During a planned stop each response closes its connection.
     bool closes_when_stopping = false;
     request::dialect dialect;
+    /// A process that has just started gets the declarations within this time; requests
+    /// that arrive before wait for them instead of being refused.
+    absl::Duration start_hold;
     /// Logs each decision on a request.
     bool explains = false;
 };
--- a/include/cuminpitch/request/events.hpp
+++ b/include/cuminpitch/request/events.hpp
@@ -31,8 +31,10 @@
     std::uint32_t slots = 0; ///< This entry's share, after the cold-start ramp.
     bool suspected = false;  ///< Chosen last.
     bool probation = false;  ///< One request at a time, idempotent if the pool has such.
-    /// Added to the used part of its slots where servers are compared: for a cold start or
-    /// the distance to it.
+    /// In another failure domain: chosen if near ones have more to do, the less the larger
+    /// the request is.
+    bool is_far = false;
+    /// Added to the used part of its slots where servers are compared, during a cold start.
     double penalty = 0;
     /// Added for recent failures; less for an idempotent request, which may find out
     /// whether the server is well again.
@@ -72,6 +74,7 @@
 {
     request_id id; ///< Never used twice in the life of a process.
     std::shared_ptr<const http::request> message;
+    absl::Duration waited; ///< Since the request arrived.
 };
 
 struct attempt_finished
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -504,7 +504,7 @@
     absl::Time now)
 {
     auto replica = consensus::replica::make(
-        consensus::replica_options{}, options.identity, std::move(state), random, now);
+        options.replica, options.identity, std::move(state), random, now);
     if (!replica) {
         return nullptr;
     }
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -32,6 +32,9 @@
 /// with the time to find another one changes are in force within two seconds.
 constexpr absl::Duration stale_state_limit = absl::Milliseconds(700);
 constexpr absl::Duration quick_sync_timeout = absl::Milliseconds(400);
+constexpr absl::Duration start_sync_interval = absl::Milliseconds(100);
+/// Control needs about as long after a stop of all its instances.
+constexpr absl::Duration start_hold = absl::Milliseconds(1200);
 constexpr absl::Duration presence_interval = absl::Seconds(1);
 /// Contacts are only shown to operators, and are most of a report.
 constexpr absl::Duration contacts_interval = absl::Seconds(10);
@@ -48,6 +51,8 @@
     it.isolation_timeout = settings.isolation_timeout;
     if (!settings.seeds.empty()) {
         it.control = settings.seeds;
+        it.start_hold = start_hold;
+        it.start_sync_interval = start_sync_interval;
         it.stale_state_limit = stale_state_limit;
         it.sync_timeout = quick_sync_timeout;
         it.presence_interval = presence_interval;
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -48,8 +48,12 @@
     if (now < next_request_ || control_.empty()) {
         return out;
     }
-    next_request_ = now + options_.sync_interval;
-    if (unanswered_since_ + options_.sync_timeout <= now) {
+    const bool hurries = replica_.revision() == core::revision() &&
+                         options_.start_sync_interval < options_.sync_interval;
+    const auto& timeout = hurries ? options_.start_sync_interval : options_.sync_timeout;
+    next_request_ =
+        now + (hurries ? options_.start_sync_interval : options_.sync_interval);
+    if (unanswered_since_ + timeout <= now) {
         ++target_;
         unanswered_since_ = absl::InfiniteFuture();
     }
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -37,10 +37,33 @@
         answer_own(it.id, *it.message);
     } else {
         ++recent_requests_;
-        dispatch(request::request_received{it.id, std::move(it.message)});
+        if (!routes_ && now_ - started_ < options_.start_hold) {
+            held_.push_back({it.id, std::move(it.message), now_});
+            return;
+        }
+        dispatch(request::request_received{it.id, std::move(it.message), {}});
+    }
+}
+
+/// Passes the requests on that waited for the declarations: once these are there, or after
+/// the time in which they should have come.
+void node::impl::release_held()
+{
+    if (held_.empty() || (!routes_ && now_ - started_ < options_.start_hold)) {
+        return;
+    }
+    for (auto& it : std::exchange(held_, {})) {
+        dispatch(request::request_received{
+            it.id, std::move(it.message), now_ - it.arrived});
     }
 }
 
+void node::impl::on(event::caller_gone& it)
+{
+    std::erase_if(held_, [&](const auto& held) { return held.id == it.id; });
+    dispatch(request::caller_gone{it.id});
+}
+
 void node::impl::on(event::call_finished& it)
 {
     const auto found = calls_.find(it.call);
@@ -127,6 +150,7 @@
     if (now_ >= next_presence_ || paths_.is_impaired(now_) != was_impaired_) {
         send_presence();
     }
+    release_held();
     dispatch(request::tick{});
     if (condition_.is_refusing && options_.stop_grace && !stopped_listening_) {
         stopped_listening_ = true;
--- a/src/entry/node_impl_priv.hpp
+++ b/src/entry/node_impl_priv.hpp
@@ -79,7 +79,7 @@
 
     // Events.
     void on(event::http_request& it);
-    void on(event::caller_gone& it) { dispatch(request::caller_gone{it.id}); }
+    void on(event::caller_gone& it);
     void on(event::call_finished& it);
     void on(event::frame_received& it);
     void on(event::tick&);
@@ -142,6 +142,7 @@
     void tick_shared_pools();
     void update_shared_pool(const config::pool_settings& declared);
     void send_shared(const core::pool_id& pool);
+    void release_held();
     void send_presence();
     void share_evidence();
     void announce_activity();
@@ -162,6 +163,13 @@
     absl::btree_map<core::pool_id, shared_pool> shared_pools_;
     /// Entries that carry requests too, with the time of their last word.
     absl::btree_map<core::endpoint, absl::Time> active_peers_;
+    struct held_request
+    {
+        core::request_id id;
+        std::shared_ptr<const http::request> message;
+        absl::Time arrived;
+    };
+    std::vector<held_request> held_;
     health::path_monitor paths_;
     bool was_impaired_ = false;
     std::uint64_t recent_requests_ = 0;
--- a/src/entry/shared_pool.cpp
+++ b/src/entry/shared_pool.cpp
@@ -5,10 +5,6 @@
 namespace cuminpitch::entry {
 namespace {
 
-/// Penalty, in parts of its slots, of a server in another failure domain. With two entries
-/// for the callers of a domain, a near server is full when each has sent it half of its
-/// slots; a far one is better from there on.
-constexpr double far_penalty = 0.5;
 /// Penalty of a server during its cold start, in which it takes about twice as long.
 constexpr double cold_penalty = 0.5;
 
@@ -55,18 +51,6 @@
     return now - it.first_seen < it.record.announcement.cold_start;
 }
 
-double shared_pool::penalty(absl::Time now, const server& it) const
-{
-    double result = 0;
-    if (it.record.announcement.failure_domain != own_domain_) {
-        result += far_penalty;
-    }
-    if (is_cold(now, it)) {
-        result += cold_penalty;
-    }
-    return result;
-}
-
 request::pool_update shared_pool::update(absl::Time now, absl::Time confirmed) const
 {
     request::pool_update out;
@@ -83,7 +67,8 @@
         view.id = id;
         view.at = it.record.announcement.address;
         view.slots = std::max<std::uint32_t>(1, it.record.announcement.slots);
-        view.penalty = penalty(now, it);
+        view.is_far = it.record.announcement.failure_domain != own_domain_;
+        view.penalty = is_cold(now, it) ? cold_penalty : 0;
         view.suspicion = suspicion_.level(now, id);
         out.servers.push_back(std::move(view));
     }
--- a/src/entry/shared_pool_priv.hpp
+++ b/src/entry/shared_pool_priv.hpp
@@ -48,7 +48,6 @@
         bool is_replaced = false;
     };
 
-    double penalty(absl::Time now, const server& it) const;
     bool is_cold(absl::Time now, const server& it) const;
 
     core::pool_id id_;
--- a/src/net/frame_codec.cpp
+++ b/src/net/frame_codec.cpp
@@ -1,17 +1,76 @@
 #include "net/frame_codec_priv.hpp"
 
+#include <zlib.h>
+
 namespace cuminpitch::net {
 
-std::string encode_frame(std::uint8_t channel, const std::string& payload)
+namespace {
+
+void put_length(std::string& to, std::size_t length)
 {
-    std::string buf;
-    buf.reserve(frame_header_bytes + payload.size());
-    const auto n = static_cast<std::uint32_t>(payload.size());
+    const auto n = static_cast<std::uint32_t>(length);
     for (unsigned shift = 0; shift < 32; shift += 8) {
-        buf.push_back(static_cast<char>((n >> shift) & 0xffU));
+        to.push_back(static_cast<char>((n >> shift) & 0xffU));
     }
-    buf.push_back(static_cast<char>(channel));
-    buf += payload;
+}
+
+std::uint32_t get_length(const std::string& from, std::size_t at)
+{
+    std::uint32_t n = 0;
+    for (unsigned i = 0; i < 4; ++i) {
+        n |= std::uint32_t{static_cast<unsigned char>(from[at + i])} << (8 * i);
+    }
+    return n;
+}
+
+/// Empty if the payload doesn't get shorter.
+std::string compressed(const std::string& payload)
+{
+    std::string out;
+    put_length(out, payload.size());
+    const std::size_t head = out.size();
+    uLongf n = compressBound(static_cast<uLong>(payload.size()));
+    out.resize(head + n);
+    const int rc = compress2(
+        reinterpret_cast<Bytef*>(out.data() + head),
+        &n,
+        reinterpret_cast<const Bytef*>(payload.data()),
+        static_cast<uLong>(payload.size()),
+        Z_BEST_SPEED);
+    out.resize(head + n);
+    return rc == Z_OK && out.size() < payload.size() ? out : std::string();
+}
+
+std::optional<std::string> expanded(const std::string& payload, std::size_t limit)
+{
+    if (payload.size() < 4 || get_length(payload, 0) > limit) {
+        return std::nullopt;
+    }
+    std::string out(get_length(payload, 0), '\0');
+    uLongf n = out.size();
+    const int rc = uncompress(
+        reinterpret_cast<Bytef*>(out.data()),
+        &n,
+        reinterpret_cast<const Bytef*>(payload.data() + 4),
+        static_cast<uLong>(payload.size() - 4));
+    return rc == Z_OK && n == out.size() ? std::optional(std::move(out)) : std::nullopt;
+}
+
+} // namespace
+
+std::string encode_frame(std::uint8_t channel, const std::string& payload)
+{
+    std::string shorter;
+    if (payload.size() >= least_compressed_bytes) {
+        shorter = compressed(payload);
+    }
+    const bool is_compressed = !shorter.empty();
+    const std::string& sent = is_compressed ? shorter : payload;
+    std::string buf;
+    buf.reserve(frame_header_bytes + sent.size());
+    put_length(buf, sent.size());
+    buf.push_back(static_cast<char>(channel | (is_compressed ? compressed_flag : 0)));
+    buf += sent;
     return buf;
 }
 
@@ -38,10 +97,7 @@
     if (bad_ || buf_.size() - start_ < frame_header_bytes) {
         return std::nullopt;
     }
-    std::uint32_t n = 0;
-    for (unsigned i = 0; i < 4; ++i) {
-        n |= std::uint32_t{static_cast<unsigned char>(buf_[start_ + i])} << (8 * i);
-    }
+    const std::uint32_t n = get_length(buf_, start_);
     if (n > max_frame_bytes_) {
         bad_ = true;
         return std::nullopt;
@@ -55,6 +111,15 @@
     it.channel = static_cast<std::uint8_t>(buf_[start_ + 4]);
     it.payload = buf_.substr(start_ + frame_header_bytes, n);
     start_ += frame_header_bytes + n;
+    if ((it.channel & compressed_flag) != 0) {
+        auto whole = expanded(it.payload, max_frame_bytes_);
+        if (!whole) {
+            bad_ = true;
+            return std::nullopt;
+        }
+        it.channel &= static_cast<std::uint8_t>(~compressed_flag);
+        it.payload = std::move(*whole);
+    }
     return it;
 }
 
--- a/src/net/frame_codec_priv.hpp
+++ b/src/net/frame_codec_priv.hpp
@@ -14,6 +14,13 @@
 /// Channel value of the first frame of a connection, which names the sender.
 inline constexpr std::uint8_t hello_channel = 0;
 
+/// Set in the channel byte of a frame whose payload is compressed: 4 bytes of length
+/// before compression, little-endian, and a zlib stream.
+inline constexpr std::uint8_t compressed_flag = 0x80;
+/// Payloads from this length on are compressed if that makes them shorter. Reports and
+/// heartbeats are shorter; fleet states and declarations are longer and repeat themselves.
+inline constexpr std::size_t least_compressed_bytes = 1024;
+
 std::string encode_frame(std::uint8_t channel, const std::string& payload);
 
 /// "<id> <host>:<port>".
--- a/src/request/admission_filter.cpp
+++ b/src/request/admission_filter.cpp
@@ -25,8 +25,8 @@
     if (asked.kind == deadline_kind::valid) {
         limit = std::min(limit, asked.remaining);
     }
-    it.deadline = at.now + limit;
-    if (limit <= absl::ZeroDuration()) {
+    it.deadline = it.received + limit;
+    if (it.deadline <= at.now) {
         return refusal_reason::deadline_passed;
     }
     return std::nullopt;
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -117,7 +117,7 @@
     live_request& request = *arrived;
     request.id = it.id;
     request.message = std::move(it.message);
-    request.received = now_;
+    request.received = now_ - it.waited;
     request.caller = caller_of(*request.message);
     if (!options_.dialect.correlation.empty()) {
         request.correlation = request.message->headers.get(options_.dialect.correlation);
--- a/src/request/pool_state.cpp
+++ b/src/request/pool_state.cpp
@@ -14,6 +14,19 @@
 /// Fewer intervals between turns say too little.
 constexpr int least_pace_samples = 20;
 
+/// Penalty, in parts of its slots, of a server in another failure domain. With two entries
+/// for the callers of a domain, a near server is full when each has sent it half of its
+/// slots; a far one is better from there on. Bytes between domains are dear, so a large
+/// body waits rather for a near server, up to the time of one more request in each slot.
+double far_penalty(std::size_t body_bytes)
+{
+    constexpr double any = 0.5;
+    constexpr double most_for_body = 1;
+    constexpr double body_for_most = 64U << 10U;
+    return any +
+           most_for_body * std::min(1.0, static_cast<double>(body_bytes) / body_for_most);
+}
+
 bool was_tried(const live_request& it, const core::server_id& server)
 {
     return std::find(it.tried.begin(), it.tried.end(), server) != it.tried.end();
@@ -62,9 +75,11 @@
     const server_slots* best = nullptr;
     std::uint64_t ties = 0;
     const double weight = it.route->idempotent ? idempotent_suspicion_weight : 1;
-    const auto load = [weight](const server_slots& server) {
+    const double far = far_penalty(it.message->body.size());
+    const auto load = [weight, far](const server_slots& server) {
         return static_cast<double>(server.in_flight) / server.view.slots +
-               server.view.penalty + weight * server.view.suspicion;
+               server.view.penalty + weight * server.view.suspicion +
+               (server.view.is_far ? far : 0);
     };
     for (const auto& server : servers_) {
         const std::uint32_t most = server.view.probation ? 1 : server.view.slots;
