--- /dev/null
+++ b/src/control/founding.cpp
@@ -0,0 +1,26 @@
+#include "cuminpitch/control/founding.hpp"
+
+#include "cuminpitch/core/hash.hpp"
+
+#include <absl/strings/str_cat.h>
+
+namespace cuminpitch::control {
+
+consensus::member_id founder_identity(const core::endpoint& internal)
+{
+    const std::string name = internal.str();
+    return consensus::member_id(absl::StrCat(
+        absl::Hex(core::hash64(name), absl::kZeroPad16),
+        absl::Hex(core::hash64(name, 1), absl::kZeroPad16)));
+}
+
+consensus::member_set founding_voters(const std::vector<core::endpoint>& seeds)
+{
+    std::vector<consensus::member> voters;
+    for (const auto& seed : seeds) {
+        voters.push_back({founder_identity(seed), core::instance_id(seed.str()), seed});
+    }
+    return consensus::member_set(std::move(voters));
+}
+
+} // namespace cuminpitch::control
--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -2,8 +2,8 @@
 
 #include "cuminpitch/consensus/file_storage.hpp"
 #include "cuminpitch/control/declared_settings.hpp"
+#include "cuminpitch/control/founding.hpp"
 #include "cuminpitch/control/node.hpp"
-#include "cuminpitch/core/hash.hpp"
 #include "cuminpitch/http/server.hpp"
 #include "cuminpitch/net/tcp_transport.hpp"
 #include "cuminpitch/telemetry/log.hpp"
@@ -15,7 +15,6 @@
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
-#include <absl/strings/str_cat.h>
 #include <absl/synchronization/mutex.h>
 #include <absl/time/clock.h>
 
@@ -362,17 +361,6 @@
     return static_cast<bool>(it);
 }
 
-/// Identity of a founder's data folder: the founders know each other's before they met.
-consensus::member_id founder_identity(const core::endpoint& internal)
-{
-    const std::string name = internal.str();
-    return consensus::member_id(absl::StrCat(
-        absl::Hex(core::hash64(name), absl::kZeroPad16),
-        absl::Hex(core::hash64(name, 1), absl::kZeroPad16)));
-}
-
-/// At the first start of a fleet each seed forms the same group. A seed that comes back
-/// with an empty data folder is told not to, and joins the group of the others instead.
 bool founds_group(const core::control_settings& settings)
 {
     const auto& seeds = settings.seeds;
@@ -380,18 +368,6 @@
            std::find(seeds.begin(), seeds.end(), settings.internal) != seeds.end();
 }
 
-core::result<void>
-found_group(const core::control_settings& settings, consensus::storage& storage)
-{
-    std::vector<consensus::member> voters;
-    for (const auto& seed : settings.seeds) {
-        const auto identity = founder_identity(seed);
-        // The name is not known yet; the leader learns it from the member's greeting.
-        voters.push_back({identity, core::instance_id(seed.str()), seed});
-    }
-    return consensus::form_group(storage, consensus::member_set(std::move(voters)));
-}
-
 } // namespace
 
 int run_control(const core::control_settings& settings, const control_extras& extras)
@@ -403,7 +379,8 @@
     auto storage = consensus::file_storage::open(
         settings.data_dir,
         random,
-        founds ? std::optional(founder_identity(settings.internal)) : std::nullopt);
+        founds ? std::optional(control::founder_identity(settings.internal))
+               : std::nullopt);
     if (!storage) {
         telemetry::log(
             telemetry::severity::error,
@@ -412,9 +389,10 @@
         return 1;
     }
     const bool is_founder =
-        founds && storage.value()->identity() == founder_identity(settings.internal);
+        founds && storage.value()->identity() == control::founder_identity(settings.internal);
     if (is_founder) {
-        const auto formed = found_group(settings, *storage.value());
+        const auto formed = consensus::form_group(
+            *storage.value(), control::founding_voters(settings.seeds));
         if (!formed && formed.error() != core::errc::conflict) {
             telemetry::log(
                 telemetry::severity::error,
--- /dev/null
+++ b/tests/control/entry_roster_test.cpp
@@ -0,0 +1,97 @@
+#include "control/entry_roster_priv.hpp"
+
+#include "sample.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cuminpitch::control {
+namespace {
+
+class entry_roster_test : public testing::Test
+{
+protected:
+    void hear(
+        const std::string& id,
+        const std::string& domain,
+        bool ready = true,
+        bool impaired = false,
+        std::uint64_t incarnation = 1)
+    {
+        roster.receive(now, {make_entry(id, domain), incarnation, ready, impaired});
+    }
+    std::vector<std::string> choose(const std::string& domain, std::size_t most = 8) const
+    {
+        std::vector<std::string> out;
+        for (const auto& it : roster.choose(
+                 now, core::failure_domain_id(domain), most, absl::Seconds(2))) {
+            out.push_back(it.id.str());
+        }
+        std::sort(out.begin(), out.end());
+        return out;
+    }
+    using names = std::vector<std::string>;
+
+    entry_roster roster;
+    absl::Time now = absl::FromUnixSeconds(1000);
+};
+
+// Guards against callers that cross failure domains without need, or get no entry.
+TEST_F(entry_roster_test, names_near_entries_first)
+{
+    hear("a1", "a");
+    hear("a2", "a");
+    hear("b1", "b");
+    EXPECT_EQ(choose("a"), (names{"a1", "a2"}));
+    EXPECT_EQ(choose("c"), (names{"a1", "a2", "b1"}));
+    EXPECT_EQ(choose("a", 1).size(), 1U);
+}
+
+// Guards against callers sent to an entry that stops, is frozen or was killed.
+TEST_F(entry_roster_test, leaves_out_silent_and_stopping_entries)
+{
+    hear("a1", "a");
+    hear("a2", "a");
+    now += absl::Milliseconds(1500);
+    hear("a2", "a", false);
+    EXPECT_EQ(choose("a"), names{"a1"});
+    now += absl::Milliseconds(600);
+    EXPECT_EQ(choose("a"), names{});
+}
+
+// Guards against a delayed word of an earlier process of an entry.
+TEST_F(entry_roster_test, ignores_an_earlier_process)
+{
+    hear("a1", "a", true, false, 2);
+    hear("a1", "a", false, false, 1);
+    EXPECT_EQ(choose("a"), names{"a1"});
+}
+
+// Guards against callers that stay with an entry whose connections to servers get lost,
+// and against an empty answer where all are in that state.
+TEST_F(entry_roster_test, names_impaired_entries_only_without_others)
+{
+    hear("a1", "a", true, true);
+    hear("a2", "a");
+    EXPECT_EQ(choose("a"), names{"a2"});
+    hear("a2", "a", true, true);
+    EXPECT_EQ(choose("a"), (names{"a1", "a2"}));
+}
+
+// Guards against a load that moves between all entries of a domain when one comes or goes.
+TEST_F(entry_roster_test, keeps_its_choice_when_another_entry_goes)
+{
+    for (int i = 0; i < 12; ++i) {
+        hear("a" + std::to_string(i), "a");
+    }
+    const auto before = choose("a", 2);
+    for (int i = 0; i < 12; ++i) {
+        const std::string id = "a" + std::to_string(i);
+        if (std::find(before.begin(), before.end(), id) == before.end()) {
+            hear(id, "a", false);
+        }
+    }
+    EXPECT_EQ(choose("a", 2), before);
+}
+
+} // namespace
+} // namespace cuminpitch::control
--- /dev/null
+++ b/tests/control/group_test.cpp
@@ -0,0 +1,216 @@
+#include "group_world.hpp"
+
+namespace cuminpitch::control {
+namespace {
+
+using upstream::availability;
+
+template <class Result, class Call>
+const Result* result_of(std::optional<api_answer>& kept, group_world& world, std::size_t i, Call it)
+{
+    kept = world.ask(i, it);
+    return kept ? std::get_if<Result>(&*kept) : nullptr;
+}
+
+/// The newest document as the leader reads it, 0 without a leader.
+std::uint64_t newest(group_world& world)
+{
+    const auto at = world.leader();
+    if (!at) {
+        return 0;
+    }
+    std::optional<api_answer> kept;
+    const auto* it =
+        result_of<call_result::newest_document>(kept, world, *at, call::read_document{});
+    return it == nullptr ? 0 : it->document.number;
+}
+
+// Guards against a fleet that forms no group, or leaves instances out of it.
+TEST(group, seeds_form_it_and_admit_the_others)
+{
+    group_world world(5, 3);
+    world.run_for(absl::Seconds(5));
+    for (std::size_t i = 0; i < 5; ++i) {
+        EXPECT_EQ(world.voters(i), 5U) << i;
+    }
+    EXPECT_TRUE(world.ask_any(group_world::declare(3)));
+    EXPECT_EQ(newest(world), 3U);
+}
+
+// Guards against a document that is acknowledged and lost: a disk is lost right after, and
+// the others lose power.
+TEST(group, acknowledged_document_survives_a_lost_disk)
+{
+    for (std::size_t lost = 0; lost < 5; ++lost) {
+        group_world world(5, 3);
+        world.run_for(absl::Seconds(5));
+        ASSERT_TRUE(world.ask_any(group_world::declare(3)));
+        for (std::size_t i = 0; i < 5; ++i) {
+            world.stop(i);
+            world.at(i).storage->crash(0);
+        }
+        world.wipe(lost);
+        for (std::size_t i = 0; i < 5; ++i) {
+            world.start(i);
+        }
+        world.run_for(absl::Seconds(4));
+        EXPECT_EQ(newest(world), 3U) << lost;
+        EXPECT_EQ(world.voters(lost), 5U) << lost;
+        EXPECT_TRUE(world.ask_any(group_world::declare(4))) << lost;
+    }
+}
+
+// Guards against a seed that comes back with an empty disk and forms a group of its own
+// while it hears nobody.
+TEST(group, emptied_seed_alone_answers_nothing)
+{
+    group_world world(5, 3);
+    world.run_for(absl::Seconds(5));
+    ASSERT_TRUE(world.ask_any(group_world::declare(3)));
+    world.stop(0);
+    world.wipe(0);
+    for (std::size_t i = 1; i < 5; ++i) {
+        world.cut(0, i);
+    }
+    world.start(0);
+    world.run_for(absl::Seconds(10));
+    std::optional<api_answer> kept;
+    EXPECT_NE(
+        result_of<call_result::unavailable>(kept, world, 0, group_world::declare(9)),
+        nullptr);
+    EXPECT_NE(
+        result_of<call_result::unavailable>(kept, world, 0, call::read_document{}), nullptr);
+    world.heal();
+    world.run_for(absl::Seconds(4));
+    EXPECT_EQ(newest(world), 3U);
+    EXPECT_EQ(world.voters(0), 5U);
+}
+
+// Guards against a leader without a majority that shows an old document, or accepts a new
+// one that is then lost.
+TEST(group, leader_that_is_cut_off_is_unavailable)
+{
+    group_world world(5, 3);
+    world.run_for(absl::Seconds(5));
+    ASSERT_TRUE(world.ask_any(group_world::declare(3)));
+    const auto old = world.leader();
+    ASSERT_TRUE(old.has_value());
+    for (std::size_t i = 0; i < 5; ++i) {
+        if (i != *old) {
+            world.cut(*old, i);
+        }
+    }
+    std::optional<api_answer> kept;
+    EXPECT_EQ(
+        result_of<call_result::newest_document>(kept, world, *old, call::read_document{}),
+        nullptr);
+    EXPECT_EQ(
+        result_of<call_result::accepted>(kept, world, *old, group_world::declare(9)),
+        nullptr);
+    world.run_for(absl::Seconds(3));
+    ASSERT_TRUE(world.ask_any(group_world::declare(4)));
+    EXPECT_EQ(
+        result_of<call_result::newest_document>(kept, world, *old, call::read_document{}),
+        nullptr);
+    world.heal();
+    world.run_for(absl::Seconds(2));
+    EXPECT_EQ(newest(world), 4U);
+}
+
+// Guards against a group that can bear fewer losses after each replacement of a machine.
+TEST(group, voter_that_is_gone_for_good_is_replaced)
+{
+    group_world world(5, 3);
+    world.run_for(absl::Seconds(5));
+    for (int round = 0; round < 3; ++round) {
+        world.stop(static_cast<std::size_t>(round));
+        world.add();
+        world.run_for(absl::Seconds(20));
+    }
+    for (const std::size_t i : {3U, 4U, 5U, 6U, 7U}) {
+        EXPECT_EQ(world.voters(i), 5U) << i;
+    }
+    EXPECT_TRUE(world.ask_any(group_world::declare(3)));
+}
+
+// Guards against an operator who is refused where the answer to the first try was lost,
+// and against an older document that is refused instead of acknowledged.
+TEST(group, repeated_and_older_documents_are_accepted_without_effect)
+{
+    group_world world(3, 3);
+    world.run_for(absl::Seconds(3));
+    const auto at = world.leader();
+    ASSERT_TRUE(at.has_value());
+    std::optional<api_answer> kept;
+    for (const std::uint64_t number : {5U, 5U, 4U}) {
+        EXPECT_NE(
+            result_of<call_result::accepted>(
+                kept, world, *at, group_world::declare(number)),
+            nullptr);
+        EXPECT_EQ(newest(world), 5U);
+    }
+    auto other = group_world::declare(5);
+    other.settings["teams/t/pools/a/entries"] = "77";
+    world.ask(*at, other);
+    EXPECT_EQ(newest(world), 5U);
+    auto invalid = group_world::declare(6);
+    invalid.settings["teams/t/pools/a/entries"] = "bad";
+    invalid.document.source = "invalid source";
+    EXPECT_NE(
+        result_of<call_result::invalid_declarations>(kept, world, *at, invalid), nullptr);
+    EXPECT_NE(
+        result_of<call_result::accepted>(kept, world, *at, group_world::declare(6)),
+        nullptr);
+}
+
+// Guards against documents in flight together of which the lower one wins.
+TEST(group, documents_in_quick_succession_end_with_the_highest)
+{
+    group_world world(3, 3);
+    world.run_for(absl::Seconds(3));
+    const auto at = world.leader();
+    ASSERT_TRUE(at.has_value());
+    for (std::uint64_t number = 10; number < 30; ++number) {
+        world.send(*at, group_world::declare(number));
+    }
+    world.run_for(absl::Seconds(2));
+    EXPECT_EQ(newest(world), 29U);
+}
+
+// Guards against a departure that is acknowledged and forgotten with its leader.
+TEST(group, acknowledged_departure_survives_the_leader)
+{
+    group_world world(5, 3);
+    world.run_for(absl::Seconds(5));
+    ASSERT_TRUE(world.ask_any(group_world::announce("s", availability::active)));
+    ASSERT_TRUE(world.ask_any(group_world::announce("s", availability::leaving)));
+    const auto old = world.leader();
+    ASSERT_TRUE(old.has_value());
+    world.stop(*old);
+    world.run_for(absl::Seconds(3));
+    // A delayed announcement from before is acknowledged and changes nothing.
+    ASSERT_TRUE(world.ask_any(group_world::announce("s", availability::active)));
+    call::announce gone;
+    gone.server.announcement.server = core::server_id("s");
+    gone.server.announcement.state = availability::gone;
+    EXPECT_TRUE(world.ask_any(gone));
+}
+
+// Guards against followers that take orders themselves, and that can't say who does.
+TEST(group, follower_names_the_leader)
+{
+    group_world world(3, 3);
+    world.run_for(absl::Seconds(3));
+    const auto at = world.leader();
+    ASSERT_TRUE(at.has_value());
+    const std::size_t other = (*at + 1) % 3;
+    std::optional<api_answer> kept;
+    const auto* it = result_of<call_result::ask_leader>(
+        kept, world, other, group_world::declare(3));
+    ASSERT_NE(it, nullptr);
+    EXPECT_EQ(it->http.host, world.at(*at).internal.host);
+    EXPECT_EQ(it->http.port, 2);
+}
+
+} // namespace
+} // namespace cuminpitch::control
--- /dev/null
+++ b/tests/entry/shared_pool_test.cpp
@@ -0,0 +1,131 @@
+#include "entry/shared_pool_priv.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cuminpitch::entry {
+namespace {
+
+const core::pool_id pool_p{core::team_id("t"), "p"};
+
+class shared_pool_test : public testing::Test
+{
+protected:
+    shared_pool_test()
+    {
+        auto declared = std::make_shared<config::declarations>();
+        declared->pools[pool_p].id = pool_p;
+        declared->pools[pool_p].every_entry = true;
+        view.declarations = declared;
+    }
+
+    static control::server_record make_server(
+        const std::string& id,
+        const std::string& domain,
+        std::uint64_t incarnation = 1,
+        upstream::availability state = upstream::availability::active)
+    {
+        control::server_record it;
+        it.pool = pool_p;
+        it.announcement.server = core::server_id(id);
+        it.announcement.incarnation = incarnation;
+        it.announcement.state = state;
+        it.announcement.address = {"10.0.0.1", 80};
+        it.announcement.failure_domain = core::failure_domain_id(domain);
+        it.announcement.slots = 4;
+        return it;
+    }
+    bool show(std::vector<control::server_record> servers)
+    {
+        auto all = std::make_shared<control::pool_servers>();
+        (*all)[pool_p] = std::move(servers);
+        view.servers = all;
+        return pool.set_view(now, view);
+    }
+    request::observation fail(const std::string& id) const
+    {
+        request::observation it;
+        it.pool = pool_p;
+        it.server = core::server_id(id);
+        it.what = request::observation::kind::failure;
+        return it;
+    }
+    std::vector<request::server_view> servers() const
+    {
+        return pool.update(now, now).servers;
+    }
+
+    control::fleet_view view;
+    shared_pool pool{pool_p, core::failure_domain_id("a")};
+    absl::Time now = absl::FromUnixSeconds(1000);
+};
+
+// Guards against new work for servers that leave.
+TEST_F(shared_pool_test, lists_only_active_servers)
+{
+    show(
+        {make_server("s1", "a"),
+         make_server("s2", "b"),
+         make_server("s3", "a", 1, upstream::availability::leaving)});
+    ASSERT_EQ(servers().size(), 2U);
+    EXPECT_FALSE(servers()[0].is_far);
+    EXPECT_TRUE(servers()[1].is_far);
+    EXPECT_FALSE(pool.set_view(now, view)) << "nothing has changed";
+}
+
+// Guards against attempts that go to an address that another server has taken over.
+TEST_F(shared_pool_test, misdirected_server_is_gone_until_it_starts_again)
+{
+    show({make_server("s1", "a"), make_server("s2", "a")});
+    auto seen = fail("s1");
+    seen.is_misdirected = true;
+    pool.observe(now, seen);
+    ASSERT_EQ(servers().size(), 1U);
+    EXPECT_EQ(servers()[0].id.str(), "s2");
+    show({make_server("s1", "a"), make_server("s2", "a")});
+    EXPECT_EQ(servers().size(), 1U);
+    show({make_server("s1", "a", 2), make_server("s2", "a")});
+    EXPECT_EQ(servers().size(), 2U);
+}
+
+// Guards against each entry losing a request of its own to the same gray server.
+TEST_F(shared_pool_test, shares_failures_with_other_entries)
+{
+    show({make_server("s1", "a")});
+    pool.observe(now, fail("s1"));
+    const auto evidence = pool.take_evidence();
+    ASSERT_TRUE(evidence.has_value());
+    EXPECT_FALSE(pool.take_evidence().has_value());
+
+    shared_pool other{pool_p, core::failure_domain_id("b")};
+    other.set_view(now, view);
+    other.receive(now, *evidence);
+    EXPECT_GE(other.update(now, now).servers[0].suspicion, 1);
+    EXPECT_FALSE(other.take_evidence().has_value()) << "passed on in a circle";
+}
+
+// Guards against one entry's broken path making a server suspect everywhere.
+TEST_F(shared_pool_test, keeps_failures_of_the_path_to_itself)
+{
+    show({make_server("s1", "a")});
+    auto seen = fail("s1");
+    seen.is_about_path = true;
+    pool.observe(now, seen);
+    EXPECT_GE(servers()[0].suspicion, 1);
+    EXPECT_FALSE(pool.take_evidence().has_value());
+}
+
+// Guards against a cold server that gets as much as the others.
+TEST_F(shared_pool_test, cold_server_has_a_penalty_for_a_while)
+{
+    auto cold = make_server("s1", "a");
+    cold.announcement.cold_start = absl::Seconds(3);
+    show({cold});
+    EXPECT_GT(servers()[0].penalty, 0);
+    EXPECT_TRUE(pool.has_fading(now));
+    now += absl::Seconds(3);
+    EXPECT_EQ(servers()[0].penalty, 0);
+    EXPECT_FALSE(pool.has_fading(now));
+}
+
+} // namespace
+} // namespace cuminpitch::entry
--- /dev/null
+++ b/tests/platform/wire_test.cpp
@@ -0,0 +1,290 @@
+#include "calls.hpp"
+#include "check_in.hpp"
+#include "declarations.hpp"
+#include "names.hpp"
+#include "settings.hpp"
+
+#include "cuminpitch/config/compile.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <filesystem>
+#include <fstream>
+
+namespace cuminpitch::platform {
+namespace {
+
+using nlohmann::json;
+
+json sample_rule(const std::string& name, const std::string& prefix)
+{
+    return {
+        {"name", name},
+        {"kind", "unsafe"},
+        {"target-latency-ms", 1000},
+        {"priority", 1},
+        {"match", {{"path-prefix", prefix}}},
+        {"action", {{"service", "one"}, {"timeout-ms", 2500}, {"max-attempts", 2}}}};
+}
+
+json sample()
+{
+    json rules = json::array({sample_rule("r-1", "/a/"), sample_rule("r-2", "/b/")});
+    rules[1]["kind"] = "safe";
+    rules[1]["action"].erase("service");
+    rules[1]["action"]["traffic-split"] = json::array(
+        {{{"service", "one"}, {"weight", 90}}, {{"service", "two"}, {"weight", 10}}});
+    return {
+        {"version", "r7"},
+        {"limits",
+         {{"max-header-bytes", 16384},
+          {"max-body-bytes", 1000},
+          {"header-timeout-ms", 3000},
+          {"idle-timeout-ms", 15000}}},
+        {"listeners", json::array({{{"host", "h.example"}, {"rule-set", rules}}})},
+        {"clusters",
+         json::array(
+             {{{"name", "one"}, {"health-path", "/health"}, {"max-connections", 390}},
+              {{"name", "two"}, {"health-path", "/health"}, {"max-connections", 390}}})}};
+}
+
+/// The declarations that a configuration means; empty if it can't be read or is invalid.
+std::optional<config::declarations> compiled(const json& from)
+{
+    const auto read = decode_configuration(from.dump(), {17});
+    const auto* made = std::get_if<declared>(&read);
+    if (made == nullptr) {
+        return std::nullopt;
+    }
+    const config::settings tree(made->settings.begin(), made->settings.end());
+    auto result = config::compile(tree);
+    auto* valid = std::get_if<config::declarations>(&result);
+    return valid == nullptr ? std::nullopt : std::optional(std::move(*valid));
+}
+
+// Guards against a field of the configuration that is lost or misread.
+TEST(platform_declarations, reads_every_field)
+{
+    const auto all = compiled(sample());
+    ASSERT_TRUE(all.has_value());
+    const auto& pool = all->pools.at(pool_of_service("one"));
+    EXPECT_TRUE(pool.every_entry);
+    EXPECT_EQ(pool.retry_percent, 17U);
+    EXPECT_EQ(pool.max_connections, 390U);
+    EXPECT_EQ(pool.max_request_bytes, 1000U);
+    const auto& order = all->routes.at({only_team(), "r-1"});
+    EXPECT_EQ(order.host, "h.example");
+    EXPECT_EQ(order.path_prefix, "/a/");
+    EXPECT_FALSE(order.idempotent);
+    EXPECT_EQ(order.deadline, absl::Milliseconds(2500));
+    EXPECT_EQ(order.target_latency, absl::Seconds(1));
+    EXPECT_EQ(order.max_attempts, 2U);
+    EXPECT_EQ(order.priority, 1U);
+    const auto& read = all->routes.at({only_team(), "r-2"});
+    EXPECT_TRUE(read.idempotent);
+    ASSERT_EQ(read.split.size(), 2U);
+    EXPECT_EQ(read.split[0].weight, 90);
+    EXPECT_EQ(all->limits.at(only_team()).idle_timeout, absl::Seconds(15));
+}
+
+// Guards against an invalid configuration that is accepted.
+TEST(platform_declarations, refuses_invalid_ones)
+{
+    const auto broken = [](const std::function<void(json&, json&)>& change) {
+        json it = sample();
+        change(it, it["listeners"][0]["rule-set"][0]);
+        return compiled(it);
+    };
+    EXPECT_FALSE(broken([](json&, json& it) { it["action"]["service"] = "none"; }));
+    EXPECT_FALSE(broken([](json&, json& it) { it["kind"] = "odd"; }));
+    EXPECT_FALSE(broken([](json&, json& it) { it["match"]["path-prefix"] = "a/"; }));
+    EXPECT_FALSE(broken([](json&, json& it) { it["target-latency-ms"] = 62500; }));
+    EXPECT_FALSE(broken([](json&, json& it) { it["action"].erase("timeout-ms"); }));
+    EXPECT_FALSE(broken([](json& it, json&) { it["version"] = "7"; }));
+    EXPECT_FALSE(broken([](json& it, json&) { it.erase("clusters"); }));
+    EXPECT_FALSE(broken([](json& it, json&) {
+        it["listeners"][0]["rule-set"][1]["action"]["traffic-split"][0]["weight"] = -1;
+    }));
+    EXPECT_TRUE(broken([](json&, json& it) { it["target-latency-ms"] = 62499; }));
+    const std::string whole = sample().dump();
+    const auto cut = decode_configuration(whole.substr(0, whole.size() / 2), {});
+    EXPECT_TRUE(std::holds_alternative<unreadable>(cut));
+}
+
+// Guards against names that the product's settings don't allow.
+TEST(platform_names, others_are_hashed)
+{
+    EXPECT_EQ(to_name("r-3d3zji9"), "r-3d3zji9");
+    EXPECT_TRUE(config::is_name(to_name("Über/service")));
+    EXPECT_NE(to_name("A"), to_name("B"));
+}
+
+json sample_check_in()
+{
+    return {
+        {"service", "one"},
+        {"address", "10.128.0.9:8080"},
+        {"zone", "z"},
+        {"version", "v1"},
+        {"slots", 6},
+        {"state", "ready"},
+        {"warmup-ms", 500},
+        {"seq", 4},
+        {"born", 1700000000000}};
+}
+
+// Guards against a field that is lost or misread.
+TEST(platform_check_in, reads_every_field)
+{
+    const auto it = decode_check_in("i-1", sample_check_in().dump());
+    ASSERT_TRUE(it.has_value());
+    EXPECT_EQ(it->pool, pool_of_service("one"));
+    EXPECT_EQ(it->announcement.server.str(), "i-1");
+    EXPECT_EQ(it->announcement.address.str(), "10.128.0.9:8080");
+    EXPECT_EQ(it->announcement.failure_domain.str(), "z");
+    EXPECT_EQ(it->announcement.slots, 6U);
+    EXPECT_EQ(it->announcement.sequence, 4U);
+    EXPECT_EQ(it->announcement.incarnation, 1700000000000U);
+    EXPECT_EQ(it->announcement.cold_start, absl::Milliseconds(500));
+    EXPECT_EQ(it->announcement.state, upstream::availability::active);
+}
+
+// Guards against a message from another writer that makes a server.
+TEST(platform_check_in, refuses_missing_and_mistyped_fields)
+{
+    const json whole = sample_check_in();
+    for (const auto& [name, value] : whole.items()) {
+        json it = sample_check_in();
+        it[name] = json::array();
+        EXPECT_FALSE(decode_check_in("i-1", it.dump())) << name;
+        it.erase(name);
+        EXPECT_EQ(decode_check_in("i-1", it.dump()).has_value(), name == "born") << name;
+    }
+    json odd = sample_check_in();
+    odd["state"] = "asleep";
+    EXPECT_FALSE(decode_check_in("i-1", odd.dump()));
+    odd = sample_check_in();
+    odd["born"] = 1.5;
+    EXPECT_FALSE(decode_check_in("i-1", odd.dump()));
+    EXPECT_FALSE(decode_check_in("i-1", "\xff\xfe"));
+    EXPECT_FALSE(decode_check_in("", sample_check_in().dump()));
+}
+
+// Guards against a departure that is refused because it says little.
+TEST(platform_check_in, leaving_needs_only_the_id)
+{
+    EXPECT_EQ(
+        decode_leave("i-1", "")->announcement.state, upstream::availability::gone);
+    EXPECT_EQ(decode_leave("i-1", R"({"born":5})")->announcement.incarnation, 5U);
+    EXPECT_FALSE(decode_leave("i-1", "[]"));
+}
+
+class platform_calls_test : public testing::Test
+{
+protected:
+    auto decode(const std::string& method, const std::string& path, std::string body = "")
+    {
+        last.method = method;
+        last.target = last.path = path;
+        last.body = std::move(body);
+        return it.decode(core::request_id(1), last);
+    }
+    http::response encode(const control::api_answer& answer) const
+    {
+        return it.encode(answer, last);
+    }
+
+    calls it{{17}, absl::Seconds(5)};
+    http::request last;
+};
+
+// Guards against calls that reach the wrong place.
+TEST_F(platform_calls_test, each_call_is_known)
+{
+    const auto is_call = [](const auto& read) {
+        return std::holds_alternative<control::api_call>(read);
+    };
+    EXPECT_TRUE(is_call(decode("PUT", "/-/config", sample().dump())));
+    EXPECT_TRUE(is_call(decode("GET", "/-/config")));
+    EXPECT_TRUE(is_call(decode("GET", "/-/resolve")));
+    EXPECT_TRUE(is_call(decode("PUT", "/-/upstreams/i-1", sample_check_in().dump())));
+    EXPECT_TRUE(is_call(decode("DELETE", "/-/upstreams/i-1")));
+    const auto refused = decode("PUT", "/-/config", "{");
+    EXPECT_EQ(std::get<http::response>(refused).status, 400);
+    EXPECT_EQ(
+        std::get<http::response>(decode("PUT", "/-/upstreams/i-1", "{}")).status, 400);
+    EXPECT_TRUE(
+        std::holds_alternative<daemon::control_api::unknown>(decode("GET", "/v1/status")));
+}
+
+// Guards against answers that say something else on the wire.
+TEST_F(platform_calls_test, each_answer_has_its_form)
+{
+    static_cast<void>(decode("PUT", "/-/config", "{}"));
+    namespace result = control::call_result;
+    EXPECT_EQ(encode(result::accepted{}).status, 200);
+    EXPECT_EQ(encode(result::invalid_declarations{{{"p", "r"}}}).status, 400);
+    EXPECT_EQ(encode(result::unavailable{"why"}).status, 503);
+    const auto redirect = encode(result::ask_leader{{"10.0.0.4", 8080}});
+    EXPECT_EQ(redirect.status, 307);
+    EXPECT_EQ(redirect.headers.get("Location"), "http://10.0.0.4:8080/-/config");
+    EXPECT_EQ(encode(result::newest_document{}).status, 503);
+    EXPECT_EQ(encode(result::newest_document{{7, "text"}}).body, "text");
+    control::entry_record record;
+    record.http = {"10.1.0.35", 8144};
+    EXPECT_EQ(
+        encode(result::entries{{record}}).body,
+        R"({"addresses":["10.1.0.35:8144"],"ttl-s":5})");
+}
+
+class platform_settings_test : public testing::Test
+{
+protected:
+    ~platform_settings_test() override { std::filesystem::remove(path); }
+    void write(const std::string& seeds) const
+    {
+        std::ofstream(path) << "id=a\nplatform.seeds=" << seeds
+                            << "\nplatform.internal-port=7660\n"
+                               "platform.retry-ratio=0.2\nplatform.keep-s=5\n";
+    }
+
+    const std::string path =
+        (std::filesystem::temp_directory_path() /
+         ("cuminpitch-platform-" + std::to_string(::getpid())))
+            .string();
+    std::shared_ptr<core::settings_file> file =
+        std::make_shared<core::settings_file>(path);
+};
+
+// Guards against seeds that are asked at the port of the operator API.
+TEST_F(platform_settings_test, seeds_get_the_internal_port)
+{
+    write("10.1.0.38:8146,10.2.0.31:8146");
+    const auto read = read_settings(*file);
+    const auto& it = std::get<settings>(read);
+    EXPECT_EQ(
+        it.flags,
+        (std::vector<std::string>{"--id=a", "--seeds=10.1.0.38:7660,10.2.0.31:7660"}));
+    EXPECT_EQ(it.pools.retry_percent, 17U);
+    EXPECT_EQ(it.keep, absl::Seconds(5));
+}
+
+// Guards against a settings file that changes without effect, or ends the process when it
+// is wrong.
+TEST_F(platform_settings_test, changed_seeds_are_read_and_wrong_files_are_not)
+{
+    write("10.1.0.38:8146");
+    static_cast<void>(read_settings(*file));
+    const auto source = make_seed_source(file);
+    EXPECT_FALSE(source().has_value());
+    write("10.9.0.1:8146");
+    const auto seeds = source();
+    ASSERT_TRUE(seeds.has_value());
+    EXPECT_EQ(seeds->at(0).str(), "10.9.0.1:7660");
+    std::ofstream(path) << "nonsense\n";
+    EXPECT_FALSE(source().has_value());
+}
+
+} // namespace
+} // namespace cuminpitch::platform
--- /dev/null
+++ b/tests/request/dialect_test.cpp
@@ -0,0 +1,322 @@
+#include "fixture.hpp"
+
+#include "request/split_balancer_priv.hpp"
+
+namespace cuminpitch::request {
+namespace {
+
+using core::verdict;
+
+/// One entry that serves a pool of every entry, with the header names of some platform.
+class dialect_test : public dispatcher_test
+{
+protected:
+    dialect_test()
+    {
+        auto& pool = declared->pools[pool_p];
+        pool.every_entry = true;
+        pool.retry_percent = 100;
+        options.dialect.deadline = "D";
+        options.dialect.not_run = "N";
+        options.dialect.not_run_value = "";
+        options.dialect.target_server = "T";
+        options.dialect.correlation = "C";
+        options.dialect.success_proof = "P";
+        options.dialect.unavailable_means_not_run = true;
+        options.dialect.accepts_close_delimited = true;
+        options.dialect.has_callers = false;
+        options.dialect.terse_refusals = true;
+        restart(options);
+    }
+
+    std::vector<action> send(const std::string& path)
+    {
+        return arrive(path, with({{"C", "id-7"}, {"D", "2000"}}), "body");
+    }
+    /// A whole response to the request of send().
+    static http::client_result
+    answer(int status, std::vector<std::pair<std::string, std::string>> fields = {})
+    {
+        fields.emplace_back("C", "id-7");
+        return complete(status, with(fields));
+    }
+    static http::client_result unreached()
+    {
+        auto out = not_connected();
+        out.connect_timed_out = true;
+        return out;
+    }
+
+    dispatcher_options options;
+};
+
+// Guards against a request that a server runs though it was meant for another one.
+TEST_F(dialect_test, names_the_server_and_the_time_left)
+{
+    const auto sent = only<start_attempt>(send("/order"));
+    EXPECT_EQ(sent.send.headers.get("T"), sent.server.str());
+    EXPECT_EQ(sent.send.headers.get("D"), "2000");
+    EXPECT_EQ(sent.send.headers.get("C"), "id-7");
+    EXPECT_TRUE(sent.send.accepts_close_delimited);
+}
+
+// Guards against a lost order although a server proves that it didn't run it.
+TEST_F(dialect_test, order_is_sent_again_after_proof_that_it_did_not_run)
+{
+    const auto first = only<start_attempt>(send("/order"));
+    const auto second =
+        only<start_attempt>(finish(first.send.attempt, answer(503, {{"N", "1"}})));
+    EXPECT_NE(second.server, first.server);
+    const auto misdirected = finish(second.send.attempt, answer(421));
+    const auto refused = only<refuse>(misdirected);
+    EXPECT_EQ(refused.response.status, 503);
+    EXPECT_EQ(refused.verdict, verdict::not_run);
+    const auto seen = all<observe>(misdirected);
+    ASSERT_EQ(seen.size(), 1U);
+    EXPECT_TRUE(seen[0].what.is_misdirected);
+}
+
+// Guards against an answer to another request that is taken for the answer to this one.
+TEST_F(dialect_test, response_with_another_id_is_not_passed_on)
+{
+    const auto sent = only<start_attempt>(send("/order"));
+    const auto out = finish(
+        sent.send.attempt, complete(200, with({{"C", "id-6"}, {"P", "proof"}})));
+    const auto refused = only<refuse>(out);
+    EXPECT_EQ(refused.response.status, 502);
+    EXPECT_EQ(refused.verdict, verdict::may_have_run);
+    EXPECT_TRUE(all<start_attempt>(out).empty());
+}
+
+// Guards against an order that runs twice: a late "not run" on a kept connection is the
+// answer to an earlier request.
+TEST_F(dialect_test, proof_without_id_counts_only_on_a_new_connection)
+{
+    auto shed = complete(503, with({{"N", "1"}}));
+    const auto first = only<start_attempt>(send("/order"));
+    const auto second = only<start_attempt>(finish(first.send.attempt, shed));
+    shed.reused_connection = true;
+    const auto refused = only<refuse>(finish(second.send.attempt, shed));
+    EXPECT_EQ(refused.response.status, 502);
+}
+
+// Guards against garbage that reaches a caller as a success.
+TEST_F(dialect_test, success_without_proof_is_not_passed_on)
+{
+    const auto sent = only<start_attempt>(send("/order"));
+    EXPECT_EQ(
+        only<refuse>(finish(sent.send.attempt, answer(200))).response.status, 502);
+    const auto again = only<start_attempt>(send("/order"));
+    EXPECT_EQ(
+        only<respond>(finish(again.send.attempt, answer(200, {{"P", "x"}})))
+            .response.status,
+        200);
+}
+
+// Guards against a status that says "not run" for a request that ran.
+TEST_F(dialect_test, unproved_unavailability_becomes_an_unknown_outcome)
+{
+    for (const int status : {408, 429, 503}) {
+        const auto sent = only<start_attempt>(send("/order"));
+        EXPECT_EQ(
+            only<refuse>(finish(sent.send.attempt, answer(status))).response.status, 502)
+            << status;
+    }
+    const auto sent = only<start_attempt>(send("/order"));
+    EXPECT_EQ(
+        only<respond>(finish(sent.send.attempt, answer(500))).response.status, 500);
+}
+
+// Guards against a caller that can't tell that nothing was run and when to come back.
+TEST_F(dialect_test, refusal_that_was_not_run_is_503_with_a_time_to_come_back)
+{
+    serve(pool_p, 1, 1);
+    only<start_attempt>(send("/order"));
+    send("/order");
+    const auto out = wait(absl::Seconds(3));
+    for (const auto& it : all<refuse>(out)) {
+        if (it.verdict == verdict::not_run) {
+            EXPECT_EQ(it.response.status, 503);
+            EXPECT_NE(it.response.headers.get("Retry-After").find('.'), std::string::npos);
+            EXPECT_TRUE(it.response.body.empty());
+        } else {
+            EXPECT_EQ(it.response.status, 504);
+        }
+    }
+    EXPECT_EQ(all<refuse>(out).size(), 2U);
+}
+
+// Guards against more servers running a request than its route allows, and against
+// connections that were never made counting as such.
+TEST_F(dialect_test, attempts_are_bounded_and_missing_connections_are_not_counted)
+{
+    declared->routes.at({pool_p.team, "read"}).max_attempts = 2;
+    declared->pools[pool_p].retry_percent = 0;
+    restart(options);
+    serve(pool_p, 5);
+    auto sent = only<start_attempt>(send("/read"));
+    for (int i = 0; i < 2; ++i) {
+        sent = only<start_attempt>(finish(sent.send.attempt, unreached()));
+    }
+    declared->pools[pool_p].retry_percent = 100;
+    serve(pool_p, 5);
+    sent = only<start_attempt>(finish(sent.send.attempt, reset_after_send()));
+    const auto out = finish(sent.send.attempt, reset_after_send());
+    EXPECT_TRUE(all<start_attempt>(out).empty());
+    EXPECT_EQ(only<refuse>(out).response.status, 502);
+}
+
+// Guards against retries of many entries that add up: an entry without requests has
+// earned none.
+TEST_F(dialect_test, retries_follow_the_load)
+{
+    declared->pools[pool_p].retry_percent = 20;
+    restart(options);
+    serve(pool_p, 40);
+    int retries = 0;
+    constexpr int requests = 200;
+    for (int i = 0; i < requests; ++i) {
+        now += absl::Milliseconds(20);
+        const auto sent = only<start_attempt>(send("/read"));
+        const auto again =
+            all<start_attempt>(finish(sent.send.attempt, reset_after_send()));
+        retries += static_cast<int>(again.size());
+        if (!again.empty()) {
+            finish(again[0].send.attempt, answer(200, {{"P", "x"}}));
+        }
+    }
+    EXPECT_LE(retries, requests / 5 + 1);
+    EXPECT_GE(retries, requests / 6);
+}
+
+// Guards against orders lost to a server that has just failed, and against a suspected
+// server that nobody tries again.
+TEST_F(dialect_test, only_idempotent_requests_try_a_suspected_server)
+{
+    pool_update it;
+    it.pool = pool_p;
+    it.settings = declared->pools.at(pool_p);
+    it.is_mine = true;
+    server_view well{core::server_id("well"), {"127.0.0.1", 1}, 4};
+    server_view sick{core::server_id("sick"), {"127.0.0.1", 2}, 4};
+    sick.suspicion = 0.9;
+    it.servers = {well, sick};
+    entry->update_pool(now, it);
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_EQ(only<start_attempt>(send("/order")).server.str(), "well");
+    }
+    EXPECT_EQ(only<start_attempt>(send("/read")).server.str(), "sick");
+    EXPECT_EQ(only<start_attempt>(send("/order")).server.str(), "well");
+    EXPECT_EQ(only<start_attempt>(send("/order")).server.str(), "sick") << "the rest is full";
+}
+
+// Guards against large bodies that cross failure domains while near servers have room.
+TEST_F(dialect_test, large_body_prefers_a_near_server_for_longer)
+{
+    pool_update it;
+    it.pool = pool_p;
+    it.settings = declared->pools.at(pool_p);
+    it.is_mine = true;
+    server_view near{core::server_id("near"), {"127.0.0.1", 1}, 4};
+    server_view far{core::server_id("far"), {"127.0.0.1", 2}, 4};
+    far.is_far = true;
+    it.servers = {near, far};
+    entry->update_pool(now, it);
+    for (int i = 0; i < 2; ++i) {
+        EXPECT_EQ(only<start_attempt>(send("/order")).server.str(), "near");
+    }
+    const auto large = arrive("/order", {}, std::string(60'000, 'x'));
+    EXPECT_EQ(only<start_attempt>(large).server.str(), "near");
+    EXPECT_EQ(only<start_attempt>(send("/order")).server.str(), "far");
+}
+
+// Guards against a request that starts with more time than its caller has left.
+TEST_F(dialect_test, time_before_the_arrival_here_counts)
+{
+    auto message = std::make_shared<http::request>();
+    message->method = "POST";
+    message->target = message->path = "/order";
+    message->headers = with({{"Host", "h"}, {"D", "2000"}});
+    const auto sent = only<start_attempt>(entry->handle(
+        now, request_received{request_id(99), message, absl::Milliseconds(700)}));
+    EXPECT_EQ(sent.send.headers.get("D"), "1300");
+    message->headers.set("D", "600");
+    const auto late = entry->handle(
+        now, request_received{request_id(100), message, absl::Milliseconds(700)});
+    EXPECT_EQ(only<refuse>(late).response.status, 503);
+}
+
+// Guards against a complaint that nobody can explain: each decision on a request is told
+// with its id.
+TEST_F(dialect_test, decisions_are_explained)
+{
+    options.explains = true;
+    restart(options);
+    std::vector<std::string> told;
+    const auto note = [&](const std::vector<action>& out) {
+        for (const auto& it : all<explain>(out)) {
+            EXPECT_EQ(it.correlation, "id-7");
+            EXPECT_FALSE(it.inputs.empty());
+            told.push_back(it.what);
+        }
+        return all<start_attempt>(out);
+    };
+    const auto first = note(send("/order"));
+    const auto second = note(finish(first[0].send.attempt, answer(503, {{"N", "1"}})));
+    note(finish(second[0].send.attempt, reset_after_send()));
+    EXPECT_EQ(
+        told,
+        (std::vector<std::string>{
+            "sent", "attempt failed", "sent", "attempt failed", "not repeated", "refused"}));
+}
+
+/// A route with parts of 90, 10 and 0.
+class split_test : public testing::Test
+{
+protected:
+    std::vector<int> spread(std::uint64_t seed, int n)
+    {
+        split_balancer it{core::random_source(seed)};
+        std::vector<int> out(parts.size());
+        for (int i = 0; i < n; ++i) {
+            ++out[it.choose({core::team_id("t"), "r"}, parts)];
+        }
+        return out;
+    }
+
+    std::vector<route_part> parts = {{nullptr, 90}, {nullptr, 10}, {nullptr, 0}};
+};
+
+// Guards against shares that only hold over many requests.
+TEST_F(split_test, keeps_the_weights_over_few_requests)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        const auto out = spread(seed, 40);
+        EXPECT_NEAR(out[0], 36, 1);
+        EXPECT_NEAR(out[1], 4, 1);
+        EXPECT_EQ(out[2], 0);
+    }
+}
+
+// Guards against many entries with few requests each that all prefer the same part.
+TEST_F(split_test, first_requests_of_many_entries_keep_the_weights_too)
+{
+    int second = 0;
+    constexpr int entries = 1000;
+    for (std::uint64_t seed = 1; seed <= entries; ++seed) {
+        second += spread(seed, 1)[1];
+    }
+    EXPECT_GT(second, entries / 50);
+    EXPECT_LT(second, entries / 4);
+}
+
+// Guards against a crash or a part that gets everything where no weight says anything.
+TEST_F(split_test, equal_parts_without_weights)
+{
+    parts = {{nullptr, 0}, {nullptr, 0}};
+    const auto out = spread(1, 10);
+    EXPECT_EQ(out[0] + out[1], 10);
+}
+
+} // namespace
+} // namespace cuminpitch::request
