--- a/include/cuminpitch/request/events.hpp
+++ b/include/cuminpitch/request/events.hpp
@@ -66,6 +66,8 @@
 {
     bool is_isolated = false;
     bool is_refusing = false; ///< Draining, and the time of its old addresses is over.
+    /// A planned stop has begun: attempts are no longer given up for another server.
+    bool is_draining = false;
 };
 
 // Events.
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -47,7 +47,8 @@
     condition_.is_isolated = is_isolated();
     condition_.is_refusing = now_ >= refuse_at_;
     condition_.in_flight = dispatcher_.in_flight();
-    dispatcher_.set_entry({condition_.is_isolated, condition_.is_refusing});
+    dispatcher_.set_entry(
+        {condition_.is_isolated, condition_.is_refusing, condition_.is_draining});
     if (condition_.is_isolated != was_isolated) {
         log(telemetry::severity::warning,
             condition_.is_isolated ? "isolated" : "connected");
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -293,6 +293,14 @@
             conclude(it, refusal_reason::deadline_in_queue);
             continue;
         }
+        if (now_ >= it.switch_at) {
+            const core::pool_id at = it.pool->id;
+            if (switch_server(it)) {
+                pump(*pools_.at(at));
+                erase_removed(at);
+            }
+            continue;
+        }
         counters_.add("cuminpitch_lost_results_total", pool_label(it));
         const core::pool_id id = it.pool->id;
         out_.emplace_back(cancel_attempt{it.attempt});
--- a/src/request/dispatcher_attempts.cpp
+++ b/src/request/dispatcher_attempts.cpp
@@ -37,29 +37,72 @@
     it.attempt = last_attempt_;
     it.attempt_begin = now_;
     it.attempt_limit = it.deadline - now_;
+    it.switch_at = absl::InfiniteFuture();
     attempts_[it.attempt] = it.id;
     set_due(it, it.deadline + lost_result_grace);
 }
 
-/// Part of the remaining time for an attempt. A read that another server could answer too
-/// leaves half of it for that, as a server with a gray failure may never answer. Slow
-/// requests keep all of it: giving them up would only multiply the load.
-absl::Duration
-dispatcher::impl::time_limit(const live_request& it, const server_view& server) const
+/// Whether an attempt may take only half of the remaining time. A read that another server
+/// could answer too leaves the rest for that, as a server with a gray failure may never
+/// answer. Slow requests keep all of it: giving them up would only multiply the load.
+bool dispatcher::impl::leaves_time(
+    const live_request& it, const server_view& server) const
 {
     constexpr int usual_times = 4;
     const absl::Duration remaining = it.deadline - now_;
     pool_state& pool = *pool_of(it);
-    const bool leaves_time = it.route->idempotent && pool.budget().allows() &&
-                             remaining / 2 >= usual_times * pool.service_time() &&
-                             pool.has_alternative(it, server.id);
-    return leaves_time ? remaining / 2 : remaining;
+    return it.route->idempotent && pool.budget().allows() &&
+           remaining / 2 >= usual_times * pool.service_time() &&
+           pool.has_alternative(it, server.id);
+}
+
+/// Gives an attempt up for another server. Without one that may be tried the attempt goes
+/// on: its server may still answer.
+bool dispatcher::impl::switch_server(live_request& it)
+{
+    pool_state& pool = *pool_of(it);
+    it.switch_at = absl::InfiniteFuture();
+    const bool may_switch = !entry_.is_draining && pool.known().is_mine &&
+                            has_attempts_left(it, 1) &&
+                            pool.has_alternative(it, it.server) && pool.budget().take();
+    if (!may_switch) {
+        set_due(it, it.deadline + lost_result_grace);
+        return false;
+    }
+    explain_decision(
+        it,
+        "attempt given up",
+        {{"server", it.server.str()},
+         {"reason", std::string("no-answer-yet")},
+         {"elapsed_ms", absl::ToInt64Milliseconds(now_ - it.attempt_begin)}});
+    observation seen;
+    seen.pool = it.pool->id;
+    seen.server = it.server;
+    seen.route = it.route->id;
+    seen.what = observation::kind::failure;
+    seen.duration = now_ - it.attempt_begin;
+    out_.emplace_back(observe{seen});
+    out_.emplace_back(cancel_attempt{it.attempt});
+    it.tried.push_back(it.server);
+    ++it.sends;
+    it.may_have_run = true;
+    it.last_failure = refusal_reason::timeout;
+    leave_attempt(it);
+    counters_.add("cuminpitch_attempts_given_up_total", pool_label(it));
+    place(it);
+    return true;
 }
 
 void dispatcher::impl::send(live_request& it, const server_view& server)
 {
     begin_attempt(it);
-    it.attempt_limit = time_limit(it, server);
+    const bool leaves = leaves_time(it, server);
+    if (leaves && it.pool->every_entry) {
+        it.switch_at = now_ + it.attempt_limit / 2;
+        set_due(it, it.switch_at);
+    } else if (leaves) {
+        it.attempt_limit = it.attempt_limit / 2;
+    }
     const auto since = it.at == live_request::phase::queued ? it.queued_at : now_;
     counters_.record("cuminpitch_queue_wait_seconds", now_ - since, pool_label(it));
     it.at = live_request::phase::sent;
@@ -132,12 +175,14 @@
     }
 }
 
-bool dispatcher::impl::has_attempts_left(const live_request& it) const
+bool dispatcher::impl::has_attempts_left(
+    const live_request& it, std::uint32_t in_flight) const
 {
     // A server to which no connection was made didn't get the request.
     constexpr std::size_t most_connects = 6;
     return it.tried.size() < most_connects &&
-           (!it.route->max_attempts || it.sends < *it.route->max_attempts);
+           (!it.route->max_attempts ||
+            it.sends + in_flight < *it.route->max_attempts);
 }
 
 bool dispatcher::impl::repeat_at_server(live_request& it, const attempt_outcome& outcome)
--- a/src/request/dispatcher_impl_priv.hpp
+++ b/src/request/dispatcher_impl_priv.hpp
@@ -77,9 +77,11 @@
         const live_request& it,
         const http::client_result& result,
         const attempt_outcome& outcome);
-    bool has_attempts_left(const live_request& it) const;
+    /// `in_flight`: sends of which no result is there yet.
+    bool has_attempts_left(const live_request& it, std::uint32_t in_flight = 0) const;
     void begin_attempt(live_request& it);
-    absl::Duration time_limit(const live_request& it, const server_view& server) const;
+    bool leaves_time(const live_request& it, const server_view& server) const;
+    bool switch_server(live_request& it);
     void leave_attempt(live_request& it);
     void set_due(live_request& it, absl::Time due);
     void forget(live_request& it);
--- a/src/request/live_request_priv.hpp
+++ b/src/request/live_request_priv.hpp
@@ -44,6 +44,8 @@
     core::server_id server;
     absl::Time attempt_begin;
     absl::Duration attempt_limit;
+    /// When another server is tried if this one hasn't answered and one may be.
+    absl::Time switch_at = absl::InfiniteFuture();
 
     std::vector<core::server_id> tried;
     /// Servers among them that may have received it.
--- a/tests/request/dialect_test.cpp
+++ b/tests/request/dialect_test.cpp
@@ -270,6 +270,42 @@
             "sent", "attempt failed", "sent", "attempt failed", "not repeated", "refused"}));
 }
 
+// Guards against a read that waits for a hanging server until its deadline.
+TEST_F(dialect_test, read_is_given_to_another_server_after_half_of_its_time)
+{
+    const auto first = only<start_attempt>(send("/read"));
+    EXPECT_EQ(first.send.timeout, absl::Seconds(2));
+    const auto out = wait(absl::Seconds(1));
+    EXPECT_EQ(only<cancel_attempt>(out).attempt, first.send.attempt);
+    const auto second = only<start_attempt>(out);
+    EXPECT_NE(second.server, first.server);
+    EXPECT_EQ(
+        only<respond>(finish(second.send.attempt, answer(200, {{"P", "x"}})))
+            .response.status,
+        200);
+}
+
+// Guards against an attempt that is cut without anything to put in its place: found by a
+// hunt on gcs (LOST, hunt-b5c3-35).
+TEST_F(dialect_test, read_stays_where_no_other_server_may_be_tried)
+{
+    const auto stays = [&](const start_attempt& sent) {
+        EXPECT_TRUE(wait(absl::Milliseconds(1100)).empty());
+        EXPECT_EQ(
+            only<respond>(finish(sent.send.attempt, answer(200, {{"P", "x"}})))
+                .response.status,
+            200);
+    };
+    const auto during_stop = only<start_attempt>(send("/read"));
+    entry->set_entry({false, false, true});
+    stays(during_stop);
+    entry->set_entry({});
+    const auto without_budget = only<start_attempt>(send("/read"));
+    declared->pools[pool_p].retry_percent = 0;
+    serve(pool_p, 2);
+    stays(without_budget);
+}
+
 /// A route with parts of 90, 10 and 0.
 class split_test : public testing::Test
 {
