--- a/include/cuminpitch/control/fleet_contents.hpp
+++ b/include/cuminpitch/control/fleet_contents.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -55,7 +56,14 @@
     friend bool operator==(const delta&, const delta&) = default;
 };
 
+/// Encoded contents, compressed once for all entries that get them.
+struct packed_contents
+{
+    std::shared_ptr<const std::string> bytes; ///< From wire::pack().
+};
+
 /// What brings an entry to a newer revision: the commands it lacks, or everything.
-using update = std::variant<delta, std::shared_ptr<const fleet_contents>>;
+using update =
+    std::variant<delta, std::shared_ptr<const fleet_contents>, packed_contents>;
 
 } // namespace cuminpitch::control
--- a/include/cuminpitch/control/fleet_state.hpp
+++ b/include/cuminpitch/control/fleet_state.hpp
@@ -56,6 +56,9 @@
     /// What an entry at revision `base` lacks.
     update update_for(core::revision base) const;
 
+    /// The same, with contents packed.
+    update packed_update_for(core::revision base) const;
+
     std::string snapshot() const;
     /// Replaces the state. On an error the state is unchanged: errc::malformed_message,
     /// or errc::incompatible_format if this release finds the settings invalid.
--- a/include/cuminpitch/control/sync.hpp
+++ b/include/cuminpitch/control/sync.hpp
@@ -75,21 +75,23 @@
     friend bool operator==(const presence&, const presence&) = default;
 };
 
-/// Between entries: failures of servers that the sender saw since it last said so. An
-/// empty one says that the sender carries requests and wants to be told.
+/// Between entries: failures of servers that the sender saw since it last said so, and to
+/// those of its failure domain what it has at the servers. An empty one says that the
+/// sender carries requests and wants to be told.
 struct pool_evidence
 {
-    struct server_failures
+    struct server_count
     {
         core::server_id server;
         std::uint32_t count = 0;
 
-        friend bool
-        operator==(const server_failures&, const server_failures&) = default;
+        friend bool operator==(const server_count&, const server_count&) = default;
     };
 
     core::pool_id pool;
-    std::vector<server_failures> failures;
+    std::vector<server_count> failures;
+    /// Requests in flight at each server that has any; replaces what was said before.
+    std::optional<std::vector<server_count>> in_flight;
 
     friend bool operator==(const pool_evidence&, const pool_evidence&) = default;
 };
--- a/include/cuminpitch/request/dispatcher.hpp
+++ b/include/cuminpitch/request/dispatcher.hpp
@@ -8,7 +8,9 @@
 
 #include <absl/time/time.h>
 
+#include <cstdint>
 #include <memory>
+#include <utility>
 #include <vector>
 
 namespace cuminpitch::request {
@@ -67,6 +69,9 @@
     /// Requests without `respond` or `refuse` yet.
     std::size_t in_flight() const;
     pool_load load(const core::pool_id& pool) const;
+    /// Servers of the pool with requests of this entry in flight, and how many.
+    std::vector<std::pair<core::server_id, std::uint32_t>>
+    occupied(const core::pool_id& pool) const;
 
 private:
     class impl;
--- a/include/cuminpitch/request/events.hpp
+++ b/include/cuminpitch/request/events.hpp
@@ -31,6 +31,8 @@
     std::uint32_t slots = 0; ///< This entry's share, after the cold-start ramp.
     bool suspected = false;  ///< Chosen last.
     bool probation = false;  ///< One request at a time, idempotent if the pool has such.
+    /// Requests that other entries have there, as far as known.
+    std::uint32_t elsewhere = 0;
     /// In another failure domain: chosen if near ones have more to do, the less the larger
     /// the request is.
     bool is_far = false;
--- a/include/cuminpitch/wire/control_codec.hpp
+++ b/include/cuminpitch/wire/control_codec.hpp
@@ -6,6 +6,7 @@
 #include "cuminpitch/control/sync.hpp"
 #include "cuminpitch/core/error.hpp"
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -33,6 +34,11 @@
 std::string encode(const cuminpitch::control::message& it);
 core::result<cuminpitch::control::message> decode_control_message(std::string_view bytes);
 
+/// Contents as one compressed block, to be encoded once for many receivers.
+std::string pack(const cuminpitch::control::fleet_contents& it);
+core::result<std::shared_ptr<const cuminpitch::control::fleet_contents>>
+unpack_contents(std::string_view packed);
+
 std::string encode(const fleet_snapshot& it);
 core::result<fleet_snapshot> decode_snapshot(std::string_view bytes);
 
--- a/src/control/fleet_state.cpp
+++ b/src/control/fleet_state.cpp
@@ -100,6 +100,19 @@
         return shared_;
     }
 
+    update packed_update_for(core::revision base) const
+    {
+        auto result = update_for(base);
+        if (const auto* all =
+                std::get_if<std::shared_ptr<const fleet_contents>>(&result)) {
+            if (!packed_) {
+                packed_ = std::make_shared<const std::string>(wire::pack(**all));
+            }
+            return packed_contents{packed_};
+        }
+        return result;
+    }
+
     std::string snapshot() const
     {
         wire::fleet_snapshot result;
@@ -334,6 +347,7 @@
         }
         view_.reset();
         shared_.reset();
+        packed_.reset();
         return applied{it.revision};
     }
 
@@ -372,6 +386,7 @@
     core::revision recent_base_;
     mutable fleet_view_ptr view_;
     mutable std::shared_ptr<const fleet_contents> shared_;
+    mutable std::shared_ptr<const std::string> packed_; ///< Of shared_.
 };
 
 fleet_state::fleet_state(compile_function compile)
@@ -424,6 +439,11 @@
     return impl_->update_for(base);
 }
 
+update fleet_state::packed_update_for(core::revision base) const
+{
+    return impl_->packed_update_for(base);
+}
+
 std::string fleet_state::snapshot() const
 {
     return impl_->snapshot();
--- a/src/control/sync_clients.cpp
+++ b/src/control/sync_clients.cpp
@@ -29,7 +29,7 @@
     const std::optional<leader_address>& leader,
     bool confirmed)
 {
-    return {state.update_for(in_force), state.revision(), leader, confirmed};
+    return {state.packed_update_for(in_force), state.revision(), leader, confirmed};
 }
 
 void sync_clients::push(
--- a/src/control/view_replica.cpp
+++ b/src/control/view_replica.cpp
@@ -1,6 +1,7 @@
 #include "cuminpitch/control/view_replica.hpp"
 
 #include "control/view_builder_priv.hpp"
+#include "cuminpitch/wire/control_codec.hpp"
 
 #include <utility>
 
@@ -63,6 +64,12 @@
         return put_in_force();
     }
 
+    bool apply_body(const packed_contents& it)
+    {
+        auto contents = wire::unpack_contents(*it.bytes);
+        return contents && apply_body(contents.value());
+    }
+
     bool put_in_force()
     {
         auto declarations = view_->declarations;
--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -26,10 +26,10 @@
 /// With many entries, what control instances tell each other besides the log is rarer.
 constexpr absl::Duration relay_interval = absl::Seconds(2);
 constexpr absl::Duration hello_interval = absl::Seconds(1);
-/// Changes have to be in force within two seconds also while a leader is replaced. Three
+/// Changes have to be in force within two seconds also while a leader is replaced. Four
 /// heartbeats at least, so that one that is late deposes nobody.
-constexpr absl::Duration quick_election_min = absl::Milliseconds(350);
-constexpr absl::Duration quick_election_max = absl::Milliseconds(700);
+constexpr absl::Duration quick_election_min = absl::Milliseconds(400);
+constexpr absl::Duration quick_election_max = absl::Milliseconds(800);
 
 /// Events that wait for the storage; further frames are dropped, as the network may.
 constexpr std::size_t inbox_limit = 100'000;
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -32,7 +32,7 @@
 /// with the time to find another one changes are in force within two seconds.
 constexpr absl::Duration stale_state_limit = absl::Milliseconds(700);
 constexpr absl::Duration quick_sync_timeout = absl::Milliseconds(400);
-constexpr absl::Duration start_sync_interval = absl::Milliseconds(100);
+constexpr absl::Duration start_sync_interval = absl::Milliseconds(250);
 /// Control needs about as long after a stop of all its instances.
 constexpr absl::Duration start_hold = absl::Milliseconds(1200);
 constexpr absl::Duration presence_interval = absl::Seconds(1);
--- a/src/entry/node_impl_priv.hpp
+++ b/src/entry/node_impl_priv.hpp
@@ -145,6 +145,7 @@
     void release_held();
     void send_presence();
     void share_evidence();
+    void share_occupancy();
     void announce_activity();
     void receive_evidence(const net::peer& from, const control::pool_evidence& it);
     void update_condition();
@@ -174,6 +175,10 @@
     bool was_impaired_ = false;
     std::uint64_t recent_requests_ = 0;
     absl::Time next_activity_ = absl::InfinitePast();
+    absl::Time next_occupancy_ = absl::InfinitePast();
+    absl::Time next_occupancy_repeat_ = absl::InfinitePast();
+    absl::btree_map<core::pool_id, std::vector<control::pool_evidence::server_count>>
+        told_occupancy_;
     absl::Time next_penalties_ = absl::InfinitePast();
     absl::Time next_presence_ = absl::InfinitePast();
     std::shared_ptr<const request::route_table> routes_;
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -12,6 +12,10 @@
 constexpr std::uint64_t active_requests = 15;
 /// An entry that doesn't say so for this long is no longer active.
 constexpr absl::Duration activity_memory = absl::Seconds(5);
+/// A request takes about 300 ms at a server, so what is told this often is mostly true.
+constexpr absl::Duration occupancy_interval = absl::Milliseconds(100);
+/// The same is told again, as it is forgotten after a second.
+constexpr absl::Duration occupancy_repeat = absl::Milliseconds(500);
 /// Time between two announcements that this entry carries requests.
 constexpr absl::Duration activity_interval = absl::Seconds(3);
 
@@ -142,6 +146,7 @@
         return;
     }
     share_evidence();
+    share_occupancy();
     if (now_ >= next_activity_) {
         next_activity_ = now_ + activity_interval;
         if (std::exchange(recent_requests_, 0) >= active_requests) {
@@ -185,12 +190,45 @@
     }
 }
 
+/// Tells the other active entries of this failure domain what this one has at the servers,
+/// as they mostly use the same ones. Others are not told: bytes between domains are dear.
+void node::impl::share_occupancy()
+{
+    if (now_ < next_occupancy_) {
+        return;
+    }
+    next_occupancy_ = now_ + occupancy_interval;
+    for (const auto& [id, pool] : shared_pools_) {
+        control::pool_evidence it;
+        it.pool = id;
+        it.in_flight.emplace();
+        for (const auto& [server, count] : dispatcher_.occupied(id)) {
+            it.in_flight->push_back({server, count});
+        }
+        auto& told = told_occupancy_[id];
+        if (told == *it.in_flight && (told.empty() || now_ < next_occupancy_repeat_)) {
+            continue;
+        }
+        told = *it.in_flight;
+        for (const auto& [entry, record] : view_->entries) {
+            const auto active = active_peers_.find(record.internal);
+            if (record.failure_domain == options_.self.failure_domain &&
+                active != active_peers_.end() && now_ - active->second < activity_memory) {
+                out_.push_back(send_message(record.internal, it));
+            }
+        }
+    }
+    if (now_ >= next_occupancy_repeat_) {
+        next_occupancy_repeat_ = now_ + occupancy_repeat;
+    }
+}
+
 void node::impl::receive_evidence(const net::peer& from, const control::pool_evidence& it)
 {
     active_peers_[from.internal] = now_;
     const auto pool = shared_pools_.find(it.pool);
-    if (pool != shared_pools_.end() && !it.failures.empty()) {
-        pool->second.receive(now_, it);
+    if (pool != shared_pools_.end() && (!it.failures.empty() || it.in_flight)) {
+        pool->second.receive(now_, from.internal, it);
         send_shared(it.pool);
     }
 }
--- a/src/entry/shared_pool.cpp
+++ b/src/entry/shared_pool.cpp
@@ -7,6 +7,9 @@
 
 /// Penalty of a server during its cold start, in which it takes about twice as long.
 constexpr double cold_penalty = 0.5;
+/// What another entry has at servers is forgotten if it isn't repeated for this long: ten
+/// times the interval at which it is told while it changes.
+constexpr absl::Duration occupancy_memory = absl::Seconds(1);
 
 } // namespace
 
@@ -59,6 +62,14 @@
     out.is_mine = true;
     out.revision = revision_;
     out.as_of = confirmed;
+    absl::btree_map<core::server_id, std::uint32_t> elsewhere;
+    for (const auto& [entry, told] : elsewhere_) {
+        if (now - told.at <= occupancy_memory) {
+            for (const auto& it : told.in_flight) {
+                elsewhere[it.server] += it.count;
+            }
+        }
+    }
     for (const auto& [id, it] : servers_) {
         if (it.is_replaced) {
             continue;
@@ -70,6 +81,9 @@
         view.is_far = it.record.announcement.failure_domain != own_domain_;
         view.penalty = is_cold(now, it) ? cold_penalty : 0;
         view.suspicion = suspicion_.level(now, id);
+        if (const auto found = elsewhere.find(id); found != elsewhere.end()) {
+            view.elsewhere = found->second;
+        }
         out.servers.push_back(std::move(view));
     }
     return out;
@@ -103,8 +117,12 @@
     }
 }
 
-void shared_pool::receive(absl::Time now, const control::pool_evidence& it)
+void shared_pool::receive(
+    absl::Time now, const core::endpoint& from, const control::pool_evidence& it)
 {
+    if (it.in_flight) {
+        elsewhere_[from] = {now, *it.in_flight};
+    }
     for (const auto& failures : it.failures) {
         for (std::uint32_t n = 0; n < failures.count; ++n) {
             suspicion_.count_failure(now, failures.server);
--- a/src/entry/shared_pool_priv.hpp
+++ b/src/entry/shared_pool_priv.hpp
@@ -28,8 +28,9 @@
     request::pool_update update(absl::Time now, absl::Time confirmed) const;
 
     void observe(absl::Time now, const request::observation& it);
-    /// Failures that another entry saw.
-    void receive(absl::Time now, const control::pool_evidence& it);
+    /// What another entry saw of the servers and has at them.
+    void receive(
+        absl::Time now, const core::endpoint& from, const control::pool_evidence& it);
     /// Failures seen here since the last call, for other entries; empty if none.
     std::optional<control::pool_evidence> take_evidence();
 
@@ -58,6 +59,12 @@
     absl::btree_map<core::server_id, server> servers_;
     health::suspicion suspicion_;
     absl::btree_map<core::server_id, std::uint32_t> fresh_failures_;
+    struct occupancy
+    {
+        absl::Time at;
+        std::vector<control::pool_evidence::server_count> in_flight;
+    };
+    absl::btree_map<core::endpoint, occupancy> elsewhere_;
 };
 
 } // namespace cuminpitch::entry
--- /dev/null
+++ b/src/net/compression.cpp
@@ -0,0 +1,42 @@
+#include "cuminpitch/net/compression.hpp"
+
+#include "net/frame_codec_priv.hpp"
+
+#include <zlib.h>
+
+namespace cuminpitch::net {
+
+std::string compress(std::string_view bytes)
+{
+    std::string out;
+    put_length(out, bytes.size());
+    const std::size_t head = out.size();
+    uLongf n = compressBound(static_cast<uLong>(bytes.size()));
+    out.resize(head + n);
+    const int rc = compress2(
+        reinterpret_cast<Bytef*>(out.data() + head),
+        &n,
+        reinterpret_cast<const Bytef*>(bytes.data()),
+        static_cast<uLong>(bytes.size()),
+        Z_BEST_SPEED);
+    out.resize(head + n);
+    return rc == Z_OK ? out : std::string();
+}
+
+std::optional<std::string> expand(std::string_view bytes, std::size_t limit)
+{
+    constexpr std::size_t head = 4;
+    if (bytes.size() < head || get_length(bytes) > limit) {
+        return std::nullopt;
+    }
+    std::string out(get_length(bytes), '\0');
+    uLongf n = out.size();
+    const int rc = uncompress(
+        reinterpret_cast<Bytef*>(out.data()),
+        &n,
+        reinterpret_cast<const Bytef*>(bytes.data() + head),
+        static_cast<uLong>(bytes.size() - head));
+    return rc == Z_OK && n == out.size() ? std::optional(std::move(out)) : std::nullopt;
+}
+
+} // namespace cuminpitch::net
--- a/src/net/frame_codec.cpp
+++ b/src/net/frame_codec.cpp
@@ -1,11 +1,9 @@
 #include "net/frame_codec_priv.hpp"
 
-#include <zlib.h>
+#include "cuminpitch/net/compression.hpp"
 
 namespace cuminpitch::net {
 
-namespace {
-
 void put_length(std::string& to, std::size_t length)
 {
     const auto n = static_cast<std::uint32_t>(length);
@@ -14,57 +12,22 @@
     }
 }
 
-std::uint32_t get_length(const std::string& from, std::size_t at)
+std::uint32_t get_length(std::string_view from)
 {
     std::uint32_t n = 0;
     for (unsigned i = 0; i < 4; ++i) {
-        n |= std::uint32_t{static_cast<unsigned char>(from[at + i])} << (8 * i);
+        n |= std::uint32_t{static_cast<unsigned char>(from[i])} << (8 * i);
     }
     return n;
 }
 
-/// Empty if the payload doesn't get shorter.
-std::string compressed(const std::string& payload)
-{
-    std::string out;
-    put_length(out, payload.size());
-    const std::size_t head = out.size();
-    uLongf n = compressBound(static_cast<uLong>(payload.size()));
-    out.resize(head + n);
-    const int rc = compress2(
-        reinterpret_cast<Bytef*>(out.data() + head),
-        &n,
-        reinterpret_cast<const Bytef*>(payload.data()),
-        static_cast<uLong>(payload.size()),
-        Z_BEST_SPEED);
-    out.resize(head + n);
-    return rc == Z_OK && out.size() < payload.size() ? out : std::string();
-}
-
-std::optional<std::string> expanded(const std::string& payload, std::size_t limit)
-{
-    if (payload.size() < 4 || get_length(payload, 0) > limit) {
-        return std::nullopt;
-    }
-    std::string out(get_length(payload, 0), '\0');
-    uLongf n = out.size();
-    const int rc = uncompress(
-        reinterpret_cast<Bytef*>(out.data()),
-        &n,
-        reinterpret_cast<const Bytef*>(payload.data() + 4),
-        static_cast<uLong>(payload.size() - 4));
-    return rc == Z_OK && n == out.size() ? std::optional(std::move(out)) : std::nullopt;
-}
-
-} // namespace
-
 std::string encode_frame(std::uint8_t channel, const std::string& payload)
 {
     std::string shorter;
     if (payload.size() >= least_compressed_bytes) {
-        shorter = compressed(payload);
+        shorter = compress(payload);
     }
-    const bool is_compressed = !shorter.empty();
+    const bool is_compressed = !shorter.empty() && shorter.size() < payload.size();
     const std::string& sent = is_compressed ? shorter : payload;
     std::string buf;
     buf.reserve(frame_header_bytes + sent.size());
@@ -97,7 +60,7 @@
     if (bad_ || buf_.size() - start_ < frame_header_bytes) {
         return std::nullopt;
     }
-    const std::uint32_t n = get_length(buf_, start_);
+    const std::uint32_t n = get_length(std::string_view(buf_).substr(start_));
     if (n > max_frame_bytes_) {
         bad_ = true;
         return std::nullopt;
@@ -112,7 +75,7 @@
     it.payload = buf_.substr(start_ + frame_header_bytes, n);
     start_ += frame_header_bytes + n;
     if ((it.channel & compressed_flag) != 0) {
-        auto whole = expanded(it.payload, max_frame_bytes_);
+        auto whole = expand(it.payload, max_frame_bytes_);
         if (!whole) {
             bad_ = true;
             return std::nullopt;
--- a/src/net/frame_codec_priv.hpp
+++ b/src/net/frame_codec_priv.hpp
@@ -14,8 +14,12 @@
 /// Channel value of the first frame of a connection, which names the sender.
 inline constexpr std::uint8_t hello_channel = 0;
 
-/// Set in the channel byte of a frame whose payload is compressed: 4 bytes of length
-/// before compression, little-endian, and a zlib stream.
+/// A length as 4 bytes, little-endian.
+void put_length(std::string& to, std::size_t length);
+/// `from` has at least 4 bytes.
+std::uint32_t get_length(std::string_view from);
+
+/// Set in the channel byte of a frame whose payload is from compress().
 inline constexpr std::uint8_t compressed_flag = 0x80;
 /// Payloads from this length on are compressed if that makes them shorter. Reports and
 /// heartbeats are shorter; fleet states and declarations are longer and repeat themselves.
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -107,6 +107,15 @@
     return {found->second->queue().size(), found->second->in_flight()};
 }
 
+std::vector<std::pair<core::server_id, std::uint32_t>>
+dispatcher::impl::occupied(const core::pool_id& id) const
+{
+    const auto found = pools_.find(id);
+    return found == pools_.end()
+               ? std::vector<std::pair<core::server_id, std::uint32_t>>()
+               : found->second->occupied();
+}
+
 void dispatcher::impl::on(request_received it)
 {
     if (live_.contains(it.id)) {
@@ -383,6 +392,12 @@
     return impl_->in_flight();
 }
 
+std::vector<std::pair<core::server_id, std::uint32_t>>
+dispatcher::occupied(const core::pool_id& pool) const
+{
+    return impl_->occupied(pool);
+}
+
 pool_load dispatcher::load(const core::pool_id& pool) const
 {
     return impl_->load(pool);
--- a/src/request/dispatcher_answers.cpp
+++ b/src/request/dispatcher_answers.cpp
@@ -42,6 +42,7 @@
          {"waited_ms", absl::ToInt64Milliseconds(now_ - it.received)},
          {"penalty", server.penalty},
          {"suspicion", server.suspicion},
+         {"elsewhere", static_cast<std::int64_t>(server.elsewhere)},
          {"pool_in_flight", static_cast<std::int64_t>(pool.in_flight())},
          {"servers", static_cast<std::int64_t>(pool.known().servers.size())},
          {"known_for_ms", absl::ToInt64Milliseconds(now_ - pool.known().as_of)},
@@ -134,6 +135,17 @@
     forget(it);
 }
 
+/// Where nothing waits, servers refused the request, and each of them may take the next
+/// one: a slot gets free after a part of the time that a request takes. Spread, so that
+/// callers don't return together.
+absl::Duration dispatcher::impl::soon_retry_after() const
+{
+    constexpr std::int64_t least_ms = 200;
+    constexpr std::int64_t spread_ms = 200;
+    const auto spread = static_cast<std::int64_t>(retry_random_() % spread_ms);
+    return absl::Milliseconds(least_ms + spread);
+}
+
 absl::Duration
 dispatcher::impl::retry_after(const live_request& it, refusal_reason why) const
 {
@@ -148,6 +160,9 @@
     }
     const pool_state* pool = it.pool == nullptr ? nullptr : pool_of(it);
     const bool has_queue = pool != nullptr && pool->queue().size() > 0;
+    if (!has_queue && pool != nullptr && pool->known().settings.every_entry) {
+        return soon_retry_after();
+    }
     const auto wait = has_queue ? pool->expected_wait(it.caller) : usual_retry_after;
     return std::clamp(wait, shortest_retry_after, longest_retry_after);
 }
--- a/src/request/dispatcher_impl_priv.hpp
+++ b/src/request/dispatcher_impl_priv.hpp
@@ -25,6 +25,7 @@
         core::random_source random,
         telemetry::metrics& counters)
         : options_(std::move(options)), random_(random), splits_(random),
+          retry_random_(random),
           counters_(counters),
           teams_(options_.in_flight_limit, options_.team_share_percent)
     {
@@ -37,6 +38,8 @@
     std::vector<action> handle(absl::Time now, event it);
     std::size_t in_flight() const { return live_.size(); }
     pool_load load(const core::pool_id& id) const;
+    std::vector<std::pair<core::server_id, std::uint32_t>>
+    occupied(const core::pool_id& id) const;
 
 private:
     using live_ptr = std::unique_ptr<live_request>;
@@ -68,6 +71,7 @@
     void answer(live_request& it, core::verdict verdict, http::response response);
     void refuse_request(live_request& it, refusal_reason why, core::verdict verdict);
     absl::Duration retry_after(const live_request& it, refusal_reason why) const;
+    absl::Duration soon_retry_after() const;
     std::vector<std::string> other_entries(const live_request& it) const;
 
     void explain_decision(
@@ -92,6 +96,7 @@
     const dispatcher_options options_;
     core::random_source random_;
     mutable split_balancer splits_;
+    mutable core::random_source retry_random_;
     telemetry::metrics& counters_;
     const route_filter route_filter_;
     const admission_filter admission_filter_;
--- a/src/request/pool_state.cpp
+++ b/src/request/pool_state.cpp
@@ -14,13 +14,13 @@
 /// Fewer intervals between turns say too little.
 constexpr int least_pace_samples = 20;
 
-/// Penalty, in parts of its slots, of a server in another failure domain. With two entries
-/// for the callers of a domain, a near server is full when each has sent it half of its
-/// slots; a far one is better from there on. Bytes between domains are dear, so a large
+/// Penalty, in parts of its slots, of a server in another failure domain. What entries of
+/// other domains have there isn't known, so a near server is preferred until its slots are
+/// nearly full. Bytes between domains are dear, so a large
 /// body waits rather for a near server, up to the time of one more request in each slot.
 double far_penalty(std::size_t body_bytes)
 {
-    constexpr double any = 0.5;
+    constexpr double any = 0.9;
     constexpr double most_for_body = 1;
     constexpr double body_for_most = 64U << 10U;
     return any +
@@ -77,7 +77,8 @@
     const double weight = it.route->idempotent ? idempotent_suspicion_weight : 1;
     const double far = far_penalty(it.message->body.size());
     const auto load = [weight, far](const server_slots& server) {
-        return static_cast<double>(server.in_flight) / server.view.slots +
+        return static_cast<double>(server.in_flight + server.view.elsewhere) /
+                   server.view.slots +
                server.view.penalty + weight * server.view.suspicion +
                (server.view.is_far ? far : 0);
     };
@@ -141,6 +142,17 @@
     return out;
 }
 
+std::vector<std::pair<core::server_id, std::uint32_t>> pool_state::occupied() const
+{
+    std::vector<std::pair<core::server_id, std::uint32_t>> out;
+    for (const auto& it : servers_) {
+        if (it.in_flight > 0) {
+            out.emplace_back(it.view.id, it.in_flight);
+        }
+    }
+    return out;
+}
+
 void pool_state::occupy(const server_view& server, const core::caller_id& caller)
 {
     const auto it = std::find_if(servers_.begin(), servers_.end(), [&](const auto& each) {
--- a/src/request/pool_state_priv.hpp
+++ b/src/request/pool_state_priv.hpp
@@ -9,6 +9,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace cuminpitch::request {
@@ -34,6 +35,8 @@
     bool has_free_slot() const;
     std::size_t slots() const;
 
+    /// Servers with requests in flight, and how many.
+    std::vector<std::pair<core::server_id, std::uint32_t>> occupied() const;
     void occupy(const server_view& server, const core::caller_id& caller);
     void release(const core::server_id& server, const core::caller_id& caller);
     std::size_t in_flight() const { return in_flight_; }
--- a/src/wire/control_codec.cpp
+++ b/src/wire/control_codec.cpp
@@ -1,5 +1,6 @@
 #include "cuminpitch/wire/control_codec.hpp"
 
+#include "cuminpitch/net/compression.hpp"
 #include "wire/generated/control_generated.h"
 
 #include <absl/time/time.h>
@@ -19,6 +20,8 @@
 // A snapshot at the planned size has about 52,000 routes with 6 settings each, 4,100
 // entries, and 65,536 outcomes with up to 16 details, which is over the default of 10^6.
 constexpr flatbuffers::uoffset_t max_tables = 4'000'000;
+/// Four times the state of the planned size (docs/CAPACITY.md).
+constexpr std::size_t max_contents_bytes = std::size_t{64} << 20U;
 
 // Writing: model types to the native types of the generated code.
 
@@ -216,8 +219,40 @@
     {
         return {fb::update::contents, write(to, *it).Union()};
     }
+    written_update operator()(const model::packed_contents& it) const
+    {
+        const auto bytes = to.CreateVector(
+            reinterpret_cast<const std::uint8_t*>(it.bytes->data()), it.bytes->size());
+        return {
+            fb::update::packed_contents, fb::Createpacked_contents(to, bytes).Union()};
+    }
 };
 
+using server_counts = std::vector<model::pool_evidence::server_count>;
+using wire_counts = std::vector<std::unique_ptr<fb::server_countT>>;
+
+wire_counts to_wire(const server_counts& counts)
+{
+    wire_counts result;
+    for (const auto& it : counts) {
+        auto item = std::make_unique<fb::server_countT>();
+        item->id = it.server.str();
+        item->count = it.count;
+        result.push_back(std::move(item));
+    }
+    return result;
+}
+
+std::vector<flatbuffers::Offset<fb::server_count>>
+write(flatbuffers::FlatBufferBuilder& to, const server_counts& counts)
+{
+    std::vector<flatbuffers::Offset<fb::server_count>> result;
+    for (const auto& it : to_wire(counts)) {
+        result.push_back(fb::server_count::Pack(to, it.get()));
+    }
+    return result;
+}
+
 struct message_writer
 {
     flatbuffers::FlatBufferBuilder& to;
@@ -283,15 +318,18 @@
         fb::pool_evidenceT body;
         body.team = it.pool.team.str();
         body.pool = it.pool.name;
-        for (const auto& failures : it.failures) {
-            auto item = std::make_unique<fb::server_failuresT>();
-            item->id = failures.server.str();
-            item->count = failures.count;
-            body.failures.push_back(std::move(item));
+        body.failures = to_wire(it.failures);
+        auto at = fb::pool_evidence::Pack(to, &body);
+        if (it.in_flight) {
+            // An empty vector is not the same as none, which Pack() makes of it.
+            const auto failures = write(to, it.failures);
+            const auto in_flight = write(to, *it.in_flight);
+            at = fb::Createpool_evidenceDirect(
+                to, body.team.c_str(), body.pool.c_str(), &failures, &in_flight);
         }
-        const auto at = fb::pool_evidence::Pack(to, &body);
         return fb::Createmessage(to, fb::message_body::pool_evidence, at.Union());
     }
+
     flatbuffers::Offset<fb::message> operator()(const model::state_response& it) const
     {
         flatbuffers::Offset<fb::contents> contents;
@@ -541,6 +579,15 @@
         out = std::shared_ptr<const model::fleet_contents>(std::move(result));
         return ok;
     }
+    if (const auto* it = in.newer_as_packed_contents()) {
+        const std::string_view bytes(
+            reinterpret_cast<const char*>(it->bytes()->data()), it->bytes()->size());
+        auto contents = unpack_contents(bytes);
+        if (contents) {
+            out = std::move(contents).value();
+        }
+        return contents.has_value();
+    }
     return false;
 }
 
@@ -615,9 +662,14 @@
 {
     model::pool_evidence it;
     it.pool = {core::team_id(in.team()->str()), in.pool()->str()};
-    for (const auto* failures : *in.failures()) {
-        it.failures.push_back(
-            {core::server_id(failures->id()->str()), failures->count()});
+    for (const auto* count : *in.failures()) {
+        it.failures.push_back({core::server_id(count->id()->str()), count->count()});
+    }
+    if (in.in_flight() != nullptr) {
+        it.in_flight.emplace();
+        for (const auto* count : *in.in_flight()) {
+            it.in_flight->push_back({core::server_id(count->id()->str()), count->count()});
+        }
     }
     out = std::move(it);
     return true;
@@ -742,6 +794,29 @@
         bytes, [](const auto& in, auto& out) { return read(in, out); });
 }
 
+std::string pack(const cuminpitch::control::fleet_contents& it)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(write(builder, it));
+    return net::compress(
+        {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()});
+}
+
+core::result<std::shared_ptr<const cuminpitch::control::fleet_contents>>
+unpack_contents(std::string_view packed)
+{
+    const auto bytes = net::expand(packed, max_contents_bytes);
+    if (!bytes) {
+        return core::errc::malformed_message;
+    }
+    auto contents = unpack<fb::contents, model::fleet_contents>(
+        *bytes, [](const auto& in, auto& out) { return read(in, out); });
+    if (!contents) {
+        return contents.error();
+    }
+    return std::make_shared<const model::fleet_contents>(std::move(contents).value());
+}
+
 std::string encode(const fleet_snapshot& it)
 {
     flatbuffers::FlatBufferBuilder builder;
--- a/tests/entry/shared_pool_test.cpp
+++ b/tests/entry/shared_pool_test.cpp
@@ -98,7 +98,7 @@
 
     shared_pool other{pool_p, core::failure_domain_id("b")};
     other.set_view(now, view);
-    other.receive(now, *evidence);
+    other.receive(now, {"10.1.0.1", 1}, *evidence);
     EXPECT_GE(other.update(now, now).servers[0].suspicion, 1);
     EXPECT_FALSE(other.take_evidence().has_value()) << "passed on in a circle";
 }
@@ -114,6 +114,24 @@
     EXPECT_FALSE(pool.take_evidence().has_value());
 }
 
+// Guards against two entries that fill the same server because each counts only its own.
+TEST_F(shared_pool_test, counts_what_other_entries_have_at_servers)
+{
+    show({make_server("s1", "a"), make_server("s2", "a")});
+    control::pool_evidence told;
+    told.pool = pool_p;
+    told.in_flight = {{core::server_id("s1"), 3}};
+    pool.receive(now, {"10.1.0.1", 1}, told);
+    pool.receive(now, {"10.1.0.2", 1}, told);
+    EXPECT_EQ(servers()[0].elsewhere, 6U);
+    EXPECT_EQ(servers()[1].elsewhere, 0U);
+    told.in_flight.emplace();
+    pool.receive(now, {"10.1.0.1", 1}, told);
+    EXPECT_EQ(servers()[0].elsewhere, 3U);
+    now += absl::Seconds(2);
+    EXPECT_EQ(servers()[0].elsewhere, 0U) << "the other entry may be gone";
+}
+
 // Guards against a cold server that gets as much as the others.
 TEST_F(shared_pool_test, cold_server_has_a_penalty_for_a_while)
 {
