--- a/include/cuminpitch/consensus/file_storage.hpp
+++ b/include/cuminpitch/consensus/file_storage.hpp
@@ -18,8 +18,7 @@
     /// digits), or one drawn from `random`.
     /// std::errc::device_or_resource_busy if another process uses the folder,
     /// errc::incompatible_format, errc::damaged_record if files are missing.
-    static core::result<std::unique_ptr<file_storage>>
-    open(
+    static core::result<std::unique_ptr<file_storage>> open(
         const std::filesystem::path& folder,
         core::random_source& random,
         const std::optional<member_id>& new_identity = std::nullopt);
--- a/include/cuminpitch/control/group_message.hpp
+++ b/include/cuminpitch/control/group_message.hpp
@@ -24,8 +24,8 @@
     absl::Time clock;          ///< Reading of the sender's clock.
     /// Newest reading of the receiver's clock that the sender has.
     std::optional<absl::Time> echo;
-    /// Internal endpoints of the control instances that the sender knows, so that one that
-    /// was told only a few finds the others.
+    /// Internal endpoints of the control instances that the sender knows, so that one
+    /// that was told only a few finds the others.
     std::vector<core::endpoint> known;
 
     friend bool operator==(const group_hello&, const group_hello&) = default;
--- a/include/cuminpitch/core/process_settings.hpp
+++ b/include/cuminpitch/core/process_settings.hpp
@@ -57,8 +57,8 @@
     /// `--stop-grace`: time from the signal to stop to the end of the process at most.
     /// New requests are taken for half of it.
     std::optional<absl::Duration> stop_grace;
-    std::vector<endpoint> peers;      ///< `--peers`, internal endpoints of some other
-                                      ///< entries; may be empty.
+    std::vector<endpoint> peers; ///< `--peers`, internal endpoints of some other
+                                 ///< entries; may be empty.
     telemetry::severity log_level = telemetry::severity::info; ///< `--log-level`.
     bool fault_injection = false; ///< `--fault-injection`, only for tests.
 };
--- a/include/cuminpitch/daemon/control_api.hpp
+++ b/include/cuminpitch/daemon/control_api.hpp
@@ -7,7 +7,8 @@
 
 namespace cuminpitch::daemon {
 
-/// The form that API calls have on the wire of one platform. Translates only; thread-safe.
+/// The form that API calls have on the wire of one platform. Translates only;
+/// thread-safe.
 class control_api
 {
 public:
--- a/include/cuminpitch/health/path_monitor.hpp
+++ b/include/cuminpitch/health/path_monitor.hpp
@@ -18,8 +18,8 @@
     double impaired_part = 0.25;
     std::size_t least_timeouts = 4;
     std::size_t least_servers = 3; ///< With a timeout.
-    /// How long it counts as impaired after the last such finding: callers keep the answer
-    /// that names other entries for about as long.
+    /// How long it counts as impaired after the last such finding: callers keep the
+    /// answer that names other entries for about as long.
     absl::Duration hold = absl::Seconds(4);
 };
 
--- a/include/cuminpitch/health/suspicion.hpp
+++ b/include/cuminpitch/health/suspicion.hpp
@@ -26,8 +26,8 @@
 };
 
 /// Recent failures of the servers of one pool, at this entry and at others. Unlike an
-/// ejection it takes no server out: a suspected one only compares as busier than it is, so
-/// the capacity of a pool never falls and a wrong suspicion costs little. It therefore
+/// ejection it takes no server out: a suspected one only compares as busier than it is,
+/// so the capacity of a pool never falls and a wrong suspicion costs little. It therefore
 /// acts on the first failure.
 class suspicion
 {
--- a/include/cuminpitch/request/events.hpp
+++ b/include/cuminpitch/request/events.hpp
@@ -33,10 +33,11 @@
     bool probation = false;  ///< One request at a time, idempotent if the pool has such.
     /// Requests that other entries have there, as far as known.
     std::uint32_t elsewhere = 0;
-    /// In another failure domain: chosen if near ones have more to do, the less the larger
-    /// the request is.
+    /// In another failure domain: chosen if near ones have more to do, the less the
+    /// larger the request is.
     bool is_far = false;
-    /// Added to the used part of its slots where servers are compared, during a cold start.
+    /// Added to the used part of its slots where servers are compared, during a cold
+    /// start.
     double penalty = 0;
     /// Added for recent failures; less for an idempotent request, which may find out
     /// whether the server is well again.
@@ -58,7 +59,7 @@
     config::pool_settings settings;
     std::vector<server_view> servers;
     std::vector<entry_view> entries;
-    bool is_mine = false; ///< This entry is assigned to the pool.
+    bool is_mine = false;    ///< This entry is assigned to the pool.
     core::revision revision; ///< Of the fleet state that the servers are from.
     absl::Time as_of;        ///< When control last confirmed that state.
 };
--- a/src/consensus/file_storage.cpp
+++ b/src/consensus/file_storage.cpp
@@ -233,8 +233,7 @@
 file_storage::file_storage(std::unique_ptr<impl> it) : impl_(std::move(it)) {}
 file_storage::~file_storage() = default;
 
-core::result<std::unique_ptr<file_storage>>
-file_storage::open(
+core::result<std::unique_ptr<file_storage>> file_storage::open(
     const std::filesystem::path& folder,
     core::random_source& random,
     const std::optional<member_id>& new_identity)
--- a/src/control/entry_roster.cpp
+++ b/src/control/entry_roster.cpp
@@ -44,6 +44,7 @@
     });
     chosen.resize(std::min(chosen.size(), most));
     std::vector<entry_record> result;
+    result.reserve(chosen.size());
     for (const entry* it : chosen) {
         result.push_back(it->record);
     }
--- a/src/control/founding.cpp
+++ b/src/control/founding.cpp
@@ -17,6 +17,7 @@
 consensus::member_set founding_voters(const std::vector<core::endpoint>& seeds)
 {
     std::vector<consensus::member> voters;
+    voters.reserve(seeds.size());
     for (const auto& seed : seeds) {
         voters.push_back({founder_identity(seed), core::instance_id(seed.str()), seed});
     }
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -71,8 +71,8 @@
         next_member_change_ = now_;
     }
     if (now_ >= next_member_change_) {
-        next_member_change_ =
-            options_.admits_members ? now_ + options_.member_interval : absl::InfiniteFuture();
+        next_member_change_ = options_.admits_members ? now_ + options_.member_interval
+                                                      : absl::InfiniteFuture();
         keep_members();
     }
     tick_controller();
@@ -170,8 +170,8 @@
 
 void node::impl::send_hellos()
 {
-    const auto known_to_all = options_.admits_members ? member_endpoints()
-                                                      : std::vector<core::endpoint>();
+    const auto known_to_all =
+        options_.admits_members ? member_endpoints() : std::vector<core::endpoint>();
     for (const auto& peer : known_instances()) {
         const auto* known = directory_.at(peer);
         group_hello it;
@@ -232,8 +232,8 @@
     }
 }
 
-/// A voter that is gone for good would count in each majority for ever. Three voters stay,
-/// so that the loss of one is still borne.
+/// A voter that is gone for good would count in each majority for ever. Three voters
+/// stay, so that the loss of one is still borne.
 void node::impl::remove_silent_voter()
 {
     constexpr std::size_t least_voters = 3;
@@ -306,8 +306,7 @@
     if (is_leader()) {
         since = majority_contact();
     } else if (!replica_->leader().empty() && replica_->synchronized()) {
-        since =
-            replica_->last_contact(replica_->leader()).value_or(absl::InfinitePast());
+        since = replica_->last_contact(replica_->leader()).value_or(absl::InfinitePast());
     }
     return std::min(now_ - since, longest);
 }
--- a/src/control/node_calls.cpp
+++ b/src/control/node_calls.cpp
@@ -109,8 +109,7 @@
         id, proposed.value().term, deadline, false, std::move(it)};
 }
 
-bool node::impl::conclude_call(
-    core::log_index index, core::term term, const outcome& it)
+bool node::impl::conclude_call(core::log_index index, core::term term, const outcome& it)
 {
     const auto found = calls_.find(index);
     if (found == calls_.end()) {
@@ -152,14 +151,18 @@
     if (reads_.empty()) {
         return;
     }
-    const absl::Time confirmed =
-        is_leader() && replica_->synchronized() ? majority_contact() : absl::InfinitePast();
+    const absl::Time confirmed = is_leader() && replica_->synchronized()
+                                     ? majority_contact()
+                                     : absl::InfinitePast();
     while (!reads_.empty()) {
         const auto& next = reads_.front();
         if (next.asked <= confirmed) {
-            answer(next.request, call_result::newest_document{state_.contents().document});
+            answer(
+                next.request, call_result::newest_document{state_.contents().document});
         } else if (!is_leader() || now_ >= next.asked + options_.call_timeout) {
-            answer(next.request, call_result::unavailable{"no majority confirmed the state"});
+            answer(
+                next.request,
+                call_result::unavailable{"no majority confirmed the state"});
         } else {
             return;
         }
--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -56,7 +56,7 @@
 
     bool load_node();
     bool open();
-    void receive(http::request message, std::shared_ptr<http::exchange> exchange);
+    void receive(http::request message, const std::shared_ptr<http::exchange>& exchange);
     void put(control::node_event it);
     inbox take_inbox();
     bool handle_batch(signal_inbox& signals);
@@ -130,6 +130,7 @@
         absl::SleepFor(tick_interval);
     }
     telemetry::log(telemetry::severity::info, "stopped", {{"id", settings_.id.str()}});
+    telemetry::flush_log();
     return 0;
 }
 
@@ -187,14 +188,14 @@
     }
     server_ = open_server(
         settings_.http,
-        [this](http::request it, std::shared_ptr<http::exchange> exchange) {
-            receive(std::move(it), std::move(exchange));
+        [this](http::request it, const std::shared_ptr<http::exchange>& exchange) {
+            receive(std::move(it), exchange);
         });
     if (server_ != nullptr && settings_.directory) {
         directory_server_ = open_server(
             *settings_.directory,
-            [this](http::request it, std::shared_ptr<http::exchange> exchange) {
-                receive(std::move(it), std::move(exchange));
+            [this](http::request it, const std::shared_ptr<http::exchange>& exchange) {
+                receive(std::move(it), exchange);
             });
         return directory_server_ != nullptr;
     }
@@ -202,7 +203,7 @@
 }
 
 void control_daemon::receive(
-    http::request message, std::shared_ptr<http::exchange> exchange)
+    http::request message, const std::shared_ptr<http::exchange>& exchange)
 {
     if (settings_.fault_injection && message.path == control_fault_path) {
         const absl::MutexLock lock(&mutex_);
@@ -372,7 +373,8 @@
 
 int run_control(const core::control_settings& settings, const control_extras& extras)
 {
-    telemetry::start_log("cuminpitch-control", settings.log_level);
+    telemetry::start_log(
+        "cuminpitch-control", settings.log_level, telemetry::log_output::standard_output);
     std::random_device device;
     core::random_source random((std::uint64_t{device()} << 32U) | device());
     const bool founds = founds_group(settings);
@@ -388,8 +390,8 @@
             {{"data_dir", settings.data_dir}, {"reason", storage.error().message()}});
         return 1;
     }
-    const bool is_founder =
-        founds && storage.value()->identity() == control::founder_identity(settings.internal);
+    const bool is_founder = founds && storage.value()->identity() ==
+                                          control::founder_identity(settings.internal);
     if (is_founder) {
         const auto formed = consensus::form_group(
             *storage.value(), control::founding_voters(settings.seeds));
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -8,10 +8,10 @@
 #include "cuminpitch/telemetry/log.hpp"
 #include "cuminpitch/telemetry/metrics.hpp"
 #include "daemon/clock_priv.hpp"
-#include "entry/api_priv.hpp"
 #include "daemon/fault_injection_priv.hpp"
 #include "daemon/listeners_priv.hpp"
 #include "daemon/signal_inbox_priv.hpp"
+#include "entry/api_priv.hpp"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
@@ -74,10 +74,9 @@
 {
 public:
     entry_daemon(const core::entry_settings& settings, const entry_extras& extras)
-        : settings_(settings), extras_(extras), node_(
-                                                    make_options(settings, extras),
-                                                    control::make_compile_function(),
-                                                    metrics_)
+        : settings_(settings), extras_(extras),
+          node_(
+              make_options(settings, extras), control::make_compile_function(), metrics_)
     {
     }
 
@@ -155,6 +154,7 @@
     }
     wait_for_flush();
     telemetry::log(telemetry::severity::info, "stopped", {{"id", settings_.id.str()}});
+    telemetry::flush_log();
     return 0;
 }
 
@@ -186,7 +186,8 @@
     return server_ != nullptr;
 }
 
-void entry_daemon::answer_readiness(const http::request& message, http::exchange& exchange)
+void entry_daemon::answer_readiness(
+    const http::request& message, http::exchange& exchange)
 {
     constexpr int not_found = 404;
     constexpr int unavailable = 503;
@@ -317,7 +318,8 @@
 
 int run_entry(const core::entry_settings& settings, const entry_extras& extras)
 {
-    telemetry::start_log("cuminpitch-entry", settings.log_level);
+    telemetry::start_log(
+        "cuminpitch-entry", settings.log_level, telemetry::log_output::standard_output);
     return entry_daemon(settings, extras).run();
 }
 
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -45,16 +45,16 @@
     }
 }
 
-/// Passes the requests on that waited for the declarations: once these are there, or after
-/// the time in which they should have come.
+/// Passes the requests on that waited for the declarations: once these are there, or
+/// after the time in which they should have come.
 void node::impl::release_held()
 {
     if (held_.empty() || (!routes_ && now_ - started_ < options_.start_hold)) {
         return;
     }
     for (auto& it : std::exchange(held_, {})) {
-        dispatch(request::request_received{
-            it.id, std::move(it.message), now_ - it.arrived});
+        dispatch(
+            request::request_received{it.id, std::move(it.message), now_ - it.arrived});
     }
 }
 
@@ -199,8 +199,9 @@
 {
     it.inputs.insert(
         it.inputs.begin(),
-        {{"request", it.correlation.empty() ? std::to_string(it.request.value())
-                                            : std::move(it.correlation)}});
+        {{"request",
+          it.correlation.empty() ? std::to_string(it.request.value())
+                                 : std::move(it.correlation)}});
     log(telemetry::severity::info, std::move(it.what), std::move(it.inputs));
 }
 
--- a/src/entry/node_impl_priv.hpp
+++ b/src/entry/node_impl_priv.hpp
@@ -32,8 +32,8 @@
 /// What an HTTP call of this entry is for.
 using call_purpose = std::variant<request::attempt_id, probe_call, entries_query>;
 
-/// The composition behind node. Events and actions are in node.cpp, what the entry answers
-/// itself in node_answers.cpp, views and pools in node_pools.cpp.
+/// The composition behind node. Events and actions are in node.cpp, what the entry
+/// answers itself in node_answers.cpp, views and pools in node_pools.cpp.
 class node::impl
 {
 public:
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -91,7 +91,8 @@
     }
     const bool same_entries = previous && previous->entries == view_->entries;
     for (const auto& [id, declared] : view_->declarations->pools) {
-        if (!same_entries || declared.every_entry || pools_.contains(id) || is_affected(*previous, declared)) {
+        if (!same_entries || declared.every_entry || pools_.contains(id) ||
+            is_affected(*previous, declared)) {
             update_pool(declared);
         }
     }
@@ -127,8 +128,8 @@
 
 void node::impl::update_shared_pool(const config::pool_settings& declared)
 {
-    const auto [it, is_new] = shared_pools_.try_emplace(
-        declared.id, declared.id, options_.self.failure_domain);
+    const auto [it, is_new] =
+        shared_pools_.try_emplace(declared.id, declared.id, options_.self.failure_domain);
     if (it->second.set_view(now_, *view_) || is_new) {
         send_shared(declared.id);
     }
@@ -190,8 +191,9 @@
     }
 }
 
-/// Tells the other active entries of this failure domain what this one has at the servers,
-/// as they mostly use the same ones. Others are not told: bytes between domains are dear.
+/// Tells the other active entries of this failure domain what this one has at the
+/// servers, as they mostly use the same ones. Others are not told: bytes between domains
+/// are dear.
 void node::impl::share_occupancy()
 {
     if (now_ < next_occupancy_) {
@@ -213,7 +215,8 @@
         for (const auto& [entry, record] : view_->entries) {
             const auto active = active_peers_.find(record.internal);
             if (record.failure_domain == options_.self.failure_domain &&
-                active != active_peers_.end() && now_ - active->second < activity_memory) {
+                active != active_peers_.end() &&
+                now_ - active->second < activity_memory) {
                 out_.push_back(send_message(record.internal, it));
             }
         }
--- a/src/entry/shared_pool_priv.hpp
+++ b/src/entry/shared_pool_priv.hpp
@@ -29,8 +29,8 @@
 
     void observe(absl::Time now, const request::observation& it);
     /// What another entry saw of the servers and has at them.
-    void receive(
-        absl::Time now, const core::endpoint& from, const control::pool_evidence& it);
+    void
+    receive(absl::Time now, const core::endpoint& from, const control::pool_evidence& it);
     /// Failures seen here since the last call, for other entries; empty if none.
     std::optional<control::pool_evidence> take_evidence();
 
--- a/src/health/suspicion.cpp
+++ b/src/health/suspicion.cpp
@@ -60,9 +60,8 @@
 
 void suspicion::forget_faded(absl::Time now)
 {
-    absl::erase_if(records_, [&](const auto& it) {
-        return faded(now, it.second) < negligible;
-    });
+    absl::erase_if(
+        records_, [&](const auto& it) { return faded(now, it.second) < negligible; });
 }
 
 } // namespace cuminpitch::health
--- a/src/http/attempt.cpp
+++ b/src/http/attempt.cpp
@@ -217,7 +217,7 @@
         framed = framed || absl::EqualsIgnoreCase(name, "Transfer-Encoding");
     }
     return framed || request_.accepts_close_delimited ? failure::none
-                                                       : failure::short_response;
+                                                      : failure::short_response;
 }
 
 void attempt::finish(CURLcode code)
--- a/src/http/refusal.cpp
+++ b/src/http/refusal.cpp
@@ -17,7 +17,9 @@
         out.status = it.status;
         out.headers.set(std::string(reason_header), it.reason);
         if (wait_ms > 0) {
-            out.headers.set("Retry-After", absl::StrFormat("%.3f", wait_ms / 1000.0));
+            out.headers.set(
+                "Retry-After",
+                absl::StrFormat("%.3f", static_cast<double>(wait_ms) / 1000));
         }
         return out;
     }
--- a/src/net/frame_codec_priv.hpp
+++ b/src/net/frame_codec_priv.hpp
@@ -22,7 +22,8 @@
 /// Set in the channel byte of a frame whose payload is from compress().
 inline constexpr std::uint8_t compressed_flag = 0x80;
 /// Payloads from this length on are compressed if that makes them shorter. Reports and
-/// heartbeats are shorter; fleet states and declarations are longer and repeat themselves.
+/// heartbeats are shorter; fleet states and declarations are longer and repeat
+/// themselves.
 inline constexpr std::size_t least_compressed_bytes = 1024;
 
 std::string encode_frame(std::uint8_t channel, const std::string& payload);
--- a/src/request/dispatcher_answers.cpp
+++ b/src/request/dispatcher_answers.cpp
@@ -114,12 +114,13 @@
     refusal.retry_after = retry_after(it, why);
     refusal.entries = other_entries(it);
     refusal.is_terse = options_.dialect.terse_refusals;
-    const bool is_late = retry_class_of(why) == retry_class::later &&
-                         verdict == core::verdict::not_run;
+    const bool is_late =
+        retry_class_of(why) == retry_class::later && verdict == core::verdict::not_run;
     if (options_.dialect.unavailable_means_not_run && is_late) {
         refusal.status = unavailable;
-    } else if (options_.dialect.unavailable_means_not_run && it.may_have_run &&
-               refusal.status == unavailable) {
+    } else if (
+        options_.dialect.unavailable_means_not_run && it.may_have_run &&
+        refusal.status == unavailable) {
         refusal.status = bad_gateway;
     }
     explain_decision(
--- a/src/request/dispatcher_attempts.cpp
+++ b/src/request/dispatcher_attempts.cpp
@@ -42,9 +42,10 @@
     set_due(it, it.deadline + lost_result_grace);
 }
 
-/// Whether an attempt may take only half of the remaining time. A read that another server
-/// could answer too leaves the rest for that, as a server with a gray failure may never
-/// answer. Slow requests keep all of it: giving them up would only multiply the load.
+/// Whether an attempt may take only half of the remaining time. A read that another
+/// server could answer too leaves the rest for that, as a server with a gray failure may
+/// never answer. Slow requests keep all of it: giving them up would only multiply the
+/// load.
 bool dispatcher::impl::leaves_time(
     const live_request& it, const server_view& server) const
 {
@@ -136,11 +137,7 @@
 {
     pool_state& pool = *pool_of(it);
     const auto outcome = judge(
-        result,
-        it.attempt_limit,
-        pool.service_time(),
-        options_.dialect,
-        it.correlation);
+        result, it.attempt_limit, pool.service_time(), options_.dialect, it.correlation);
     explain_result(it, result, outcome);
     out_.emplace_back(observe{
         {it.pool->id,
@@ -181,8 +178,7 @@
     // A server to which no connection was made didn't get the request.
     constexpr std::size_t most_connects = 6;
     return it.tried.size() < most_connects &&
-           (!it.route->max_attempts ||
-            it.sends + in_flight < *it.route->max_attempts);
+           (!it.route->max_attempts || it.sends + in_flight < *it.route->max_attempts);
 }
 
 bool dispatcher::impl::repeat_at_server(live_request& it, const attempt_outcome& outcome)
@@ -190,9 +186,9 @@
     pool_state& pool = *pool_of(it);
     const char* why = nullptr;
     // What never reached a server is no load on the pool.
-    const bool is_free =
-        pool.known().settings.every_entry && outcome.verdict == core::verdict::not_run &&
-        outcome.failure == refusal_reason::connect_failed;
+    const bool is_free = pool.known().settings.every_entry &&
+                         outcome.verdict == core::verdict::not_run &&
+                         outcome.failure == refusal_reason::connect_failed;
     if (!may_repeat(it, outcome)) {
         why = "may-have-run";
     } else if (is_doomed(it, pool)) {
@@ -246,8 +242,8 @@
     begin_attempt(it);
     it.at = live_request::phase::forwarded;
     it.tried_entries.push_back(entry.id);
-    out_.emplace_back(forward{
-        entry.id, to_entry(it, entry, it.attempt_limit, options_.dialect)});
+    out_.emplace_back(
+        forward{entry.id, to_entry(it, entry, it.attempt_limit, options_.dialect)});
 }
 
 void dispatcher::impl::finish_at_entry(live_request& it, http::client_result result)
--- a/src/request/dispatcher_impl_priv.hpp
+++ b/src/request/dispatcher_impl_priv.hpp
@@ -25,8 +25,7 @@
         core::random_source random,
         telemetry::metrics& counters)
         : options_(std::move(options)), random_(random), splits_(random),
-          retry_random_(random),
-          counters_(counters),
+          retry_random_(random), counters_(counters),
           teams_(options_.in_flight_limit, options_.team_share_percent)
     {
     }
--- a/src/request/filters_priv.hpp
+++ b/src/request/filters_priv.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "live_request_priv.hpp"
 #include "cuminpitch/request/dialect.hpp"
+#include "live_request_priv.hpp"
 #include "pool_state_priv.hpp"
 #include "split_balancer_priv.hpp"
 
--- a/src/request/pool_state.cpp
+++ b/src/request/pool_state.cpp
@@ -15,9 +15,9 @@
 constexpr int least_pace_samples = 20;
 
 /// Penalty, in parts of its slots, of a server in another failure domain. What entries of
-/// other domains have there isn't known, so a near server is preferred until its slots are
-/// nearly full. Bytes between domains are dear, so a large
-/// body waits rather for a near server, up to the time of one more request in each slot.
+/// other domains have there isn't known, so a near server is preferred until its slots
+/// are nearly full. Bytes between domains are dear, so a large body waits rather for a
+/// near server, up to the time of one more request in each slot.
 double far_penalty(std::size_t body_bytes)
 {
     constexpr double any = 0.9;
@@ -89,9 +89,8 @@
         }
         const bool differs =
             best != nullptr && best->view.suspected != server.view.suspected;
-        const bool is_better =
-            best == nullptr ||
-            (differs ? best->view.suspected : load(server) < load(*best));
+        const bool is_better = best == nullptr || (differs ? best->view.suspected
+                                                           : load(server) < load(*best));
         const bool is_tie = best != nullptr && !differs && load(server) == load(*best);
         if (is_better) {
             ties = 0;
--- a/src/request/retry_filter.cpp
+++ b/src/request/retry_filter.cpp
@@ -48,23 +48,21 @@
         return true;
     }
     const std::string repeated = it.response.headers.get(names.correlation);
-    return repeated == correlation ||
-           (repeated.empty() && !it.reused_connection && says_not_run(it.response, names));
+    return repeated == correlation || (repeated.empty() && !it.reused_connection &&
+                                       says_not_run(it.response, names));
 }
 
 /// Why a complete response can't be passed on, if it can't.
-std::optional<refusal_reason>
-why_unusable(const http::response& it, const dialect& names)
+std::optional<refusal_reason> why_unusable(const http::response& it, const dialect& names)
 {
     const bool is_success = it.status >= first_success && it.status < first_redirect;
     if (is_success && !names.success_proof.empty() &&
         !it.headers.has(names.success_proof)) {
         return refusal_reason::malformed_response;
     }
-    const bool promises_not_run = it.status == request_timeout ||
-                                  it.status == misdirected_request ||
-                                  it.status == too_many_requests ||
-                                  it.status == unavailable;
+    const bool promises_not_run =
+        it.status == request_timeout || it.status == misdirected_request ||
+        it.status == too_many_requests || it.status == unavailable;
     if (names.unavailable_means_not_run && promises_not_run) {
         return refusal_reason::server_failed;
     }
--- a/src/request/split_balancer.cpp
+++ b/src/request/split_balancer.cpp
@@ -9,6 +9,7 @@
 std::vector<double> normalized(const std::vector<route_part>& parts)
 {
     std::vector<double> out;
+    out.reserve(parts.size());
     for (const auto& it : parts) {
         out.push_back(it.weight);
     }
@@ -21,8 +22,8 @@
 
 } // namespace
 
-std::size_t split_balancer::choose(
-    const core::route_id& route, const std::vector<route_part>& parts)
+std::size_t
+split_balancer::choose(const core::route_id& route, const std::vector<route_part>& parts)
 {
     auto weights = normalized(parts);
     shares& it = routes_[route];
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -5,7 +5,11 @@
 #include <easylogging++.h>
 #include <nlohmann/json.hpp>
 
+#include "telemetry/log_queue_priv.hpp"
+
 #include <atomic>
+#include <memory>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -56,10 +60,21 @@
     return el::Level::Error;
 }
 
+/// Null while lines go to standard error.
+std::unique_ptr<log_queue>& queue()
+{
+    static std::unique_ptr<log_queue> it;
+    return it;
+}
+
 } // namespace
 
-void start_log(std::string process, severity least)
+void start_log(std::string process, severity least, log_output output)
 {
+    queue() = output == log_output::standard_output
+                  ? std::make_unique<log_queue>(
+                        STDOUT_FILENO, log_queue_limit, log_lines_per_second)
+                  : nullptr;
     process_name() = std::move(process);
     least_severity() = least;
     el::Configurations settings;
@@ -84,10 +99,24 @@
     for (const auto& it : fields) {
         std::visit([&](const auto& value) { line[it.name] = value; }, it.value);
     }
+    std::string text =
+        line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    if (queue()) {
+        queue()->push(absl::Now(), std::move(text));
+        return;
+    }
     // The macros of easylogging++ drop debug lines if NDEBUG is defined; the writer
     // doesn't. Bytes that aren't UTF-8 are replaced, so that each line stays valid JSON.
     el::base::Writer(level_of(at), __FILE__, __LINE__, __func__).construct(1, logger_name)
-        << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        << text;
+}
+
+void flush_log()
+{
+    constexpr absl::Duration timeout = absl::Milliseconds(200);
+    if (queue()) {
+        static_cast<void>(queue()->flush(timeout));
+    }
 }
 
 } // namespace cuminpitch::telemetry
--- /dev/null
+++ b/src/telemetry/log_queue.cpp
@@ -0,0 +1,136 @@
+#include "telemetry/log_queue_priv.hpp"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <deque>
+#include <memory>
+
+namespace cuminpitch::telemetry {
+namespace {
+
+/// Time that the end of a process waits for the reader of its log.
+constexpr absl::Duration last_wait = absl::Milliseconds(200);
+
+void write_all(int fd, const std::string& text)
+{
+    std::size_t at = 0;
+    while (at < text.size()) {
+        const auto n = ::write(fd, text.data() + at, text.size() - at);
+        if (n < 0 && errno != EINTR) {
+            return; // Nobody reads any more, and there is no other place to say so.
+        }
+        at += n > 0 ? static_cast<std::size_t>(n) : 0;
+    }
+}
+
+} // namespace
+
+struct log_queue::state
+{
+    state(int to, std::size_t most, double per_second)
+        : fd(to), limit(most), rate(per_second), tokens(2 * per_second)
+    {
+    }
+
+    const int fd;
+    const std::size_t limit;
+    const double rate;
+    mutable absl::Mutex mutex;
+    std::deque<std::string> lines ABSL_GUARDED_BY(mutex);
+    double tokens ABSL_GUARDED_BY(mutex);
+    absl::Time filled ABSL_GUARDED_BY(mutex) = absl::InfinitePast();
+    std::uint64_t dropped ABSL_GUARDED_BY(mutex) = 0;
+    std::uint64_t told ABSL_GUARDED_BY(mutex) = 0;
+    bool is_writing ABSL_GUARDED_BY(mutex) = false;
+    bool stopping ABSL_GUARDED_BY(mutex) = false;
+};
+
+log_queue::log_queue(int fd, std::size_t limit, double rate)
+    : state_(std::make_shared<state>(fd, limit, rate)),
+      thread_([it = state_] { run(it); })
+{
+}
+
+log_queue::~log_queue()
+{
+    const bool is_done = flush(last_wait);
+    {
+        const absl::MutexLock lock(&state_->mutex);
+        state_->stopping = true;
+    }
+    if (is_done) {
+        thread_.join();
+    } else {
+        thread_.detach();
+    }
+}
+
+void log_queue::push(absl::Time now, std::string line)
+{
+    state& it = *state_;
+    const absl::MutexLock lock(&it.mutex);
+    if (it.filled != absl::InfinitePast()) {
+        const double earned = absl::ToDoubleSeconds(now - it.filled) * it.rate;
+        it.tokens = std::min(2 * it.rate, it.tokens + std::max(0.0, earned));
+    }
+    it.filled = now;
+    if (it.tokens < 1 || it.lines.size() >= it.limit) {
+        ++it.dropped;
+        return;
+    }
+    it.tokens -= 1;
+    it.lines.push_back(std::move(line));
+}
+
+std::uint64_t log_queue::dropped() const
+{
+    const absl::MutexLock lock(&state_->mutex);
+    return state_->dropped;
+}
+
+bool log_queue::flush(absl::Duration timeout)
+{
+    state& it = *state_;
+    const absl::MutexLock lock(&it.mutex);
+    const auto is_empty = [&it]() ABSL_NO_THREAD_SAFETY_ANALYSIS {
+        return it.lines.empty() && !it.is_writing;
+    };
+    return it.mutex.AwaitWithTimeout(absl::Condition(&is_empty), timeout);
+}
+
+void log_queue::run(const std::shared_ptr<state>& kept)
+{
+    state& it = *kept;
+    const auto has_work = [&it]() ABSL_NO_THREAD_SAFETY_ANALYSIS {
+        return !it.lines.empty() || it.stopping;
+    };
+    for (;;) {
+        std::string text;
+        {
+            const absl::MutexLock lock(&it.mutex);
+            it.is_writing = false;
+            it.mutex.Await(absl::Condition(&has_work));
+            if (it.lines.empty()) {
+                return;
+            }
+            it.is_writing = true;
+            for (auto& line : it.lines) {
+                text += line;
+                text += '\n';
+            }
+            it.lines.clear();
+            if (it.dropped > it.told) {
+                text += R"({"level":"warning","event":"log lines dropped","count":)" +
+                        std::to_string(it.dropped - it.told) + "}\n";
+                it.told = it.dropped;
+            }
+        }
+        write_all(it.fd, text);
+    }
+}
+
+} // namespace cuminpitch::telemetry
--- a/src/wire/control_codec.cpp
+++ b/src/wire/control_codec.cpp
@@ -583,10 +583,11 @@
         const std::string_view bytes(
             reinterpret_cast<const char*>(it->bytes()->data()), it->bytes()->size());
         auto contents = unpack_contents(bytes);
-        if (contents) {
-            out = std::move(contents).value();
+        if (!contents) {
+            return false;
         }
-        return contents.has_value();
+        out = std::move(contents).value();
+        return true;
     }
     return false;
 }
@@ -668,7 +669,8 @@
     if (in.in_flight() != nullptr) {
         it.in_flight.emplace();
         for (const auto* count : *in.in_flight()) {
-            it.in_flight->push_back({core::server_id(count->id()->str()), count->count()});
+            it.in_flight->push_back(
+                {core::server_id(count->id()->str()), count->count()});
         }
     }
     out = std::move(it);
--- a/tests/control/entry_roster_test.cpp
+++ b/tests/control/entry_roster_test.cpp
@@ -77,7 +77,8 @@
     EXPECT_EQ(choose("a"), (names{"a1", "a2"}));
 }
 
-// Guards against a load that moves between all entries of a domain when one comes or goes.
+// Guards against a load that moves between all entries of a domain when one comes or
+// goes.
 TEST_F(entry_roster_test, keeps_its_choice_when_another_entry_goes)
 {
     for (int i = 0; i < 12; ++i) {
--- /dev/null
+++ b/tests/telemetry/log_queue_test.cpp
@@ -0,0 +1,67 @@
+#include "telemetry/log_queue_priv.hpp"
+
+#include <gtest/gtest.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace cuminpitch::telemetry {
+namespace {
+
+class log_queue_test : public testing::Test
+{
+protected:
+    log_queue_test() { EXPECT_EQ(::pipe(ends), 0); }
+    ~log_queue_test() override
+    {
+        ::close(ends[0]);
+        ::close(ends[1]);
+    }
+    std::string read_some() const
+    {
+        std::string buf(1U << 20U, '\0');
+        const auto n = ::read(ends[0], buf.data(), buf.size());
+        buf.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
+        return buf;
+    }
+
+    int ends[2] = {-1, -1};
+    absl::Time now = absl::FromUnixSeconds(1000);
+};
+
+// Guards against a process that stands still because nobody reads its log.
+TEST_F(log_queue_test, reader_that_does_not_read_blocks_nobody)
+{
+    log_queue it(ends[1], 100, 1e9);
+    const std::string line(10'000, 'x');
+    for (int i = 0; i < 1000; ++i) {
+        it.push(now, line);
+    }
+    EXPECT_GT(it.dropped(), 0U);
+    EXPECT_FALSE(it.flush(absl::Milliseconds(50)));
+    // Lets the writing thread end, which still holds the descriptor.
+    ::fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    while (!it.flush(absl::Milliseconds(10))) {
+        read_some();
+    }
+}
+
+// Guards against a log that grows with the load without bound, or silently.
+TEST_F(log_queue_test, rate_is_bounded_and_drops_are_told)
+{
+    log_queue it(ends[1], 1000, 10);
+    for (int i = 0; i < 50; ++i) {
+        it.push(now, "line");
+    }
+    EXPECT_EQ(it.dropped(), 30U);
+    now += absl::Seconds(1);
+    it.push(now, "later");
+    ASSERT_TRUE(it.flush(absl::Seconds(5)));
+    const auto text = read_some();
+    EXPECT_NE(text.find("later"), std::string::npos);
+    EXPECT_NE(text.find("log lines dropped"), std::string::npos);
+    EXPECT_NE(text.find("30"), std::string::npos);
+}
+
+} // namespace
+} // namespace cuminpitch::telemetry
