--- a/src/cli/commands_priv.hpp
+++ b/src/cli/commands_priv.hpp
@@ -35,6 +35,9 @@
     std::vector<std::string> endpoints;
     std::string pool;
     std::vector<std::string> entries;
+
+    std::string request;
+    std::vector<std::string> logs;
 };
 
 struct context
@@ -54,6 +57,7 @@
 int run_status(context& it);
 int run_init(context& it);
 int run_reassign(context& it);
+int run_explain(context& it);
 
 /// Settings of the folder and, with a team, of its subtree only. Empty after the problems
 /// were printed.
--- /dev/null
+++ b/src/cli/explain.cpp
@@ -0,0 +1,83 @@
+#include "commands_priv.hpp"
+
+#include "cuminpitch/cli/run.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+
+namespace cuminpitch::cli {
+namespace {
+
+struct log_line
+{
+    std::string time;
+    nlohmann::ordered_json fields;
+};
+
+/// The JSON object of a line, which a collector may have put something before.
+nlohmann::ordered_json object_in(const std::string& line)
+{
+    const auto begin = line.find('{');
+    return begin == std::string::npos
+               ? nlohmann::ordered_json()
+               : nlohmann::ordered_json::parse(line.substr(begin), nullptr, false);
+}
+
+std::string plain(const nlohmann::ordered_json& value)
+{
+    return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+void print(const log_line& it, std::ostream& out)
+{
+    out << it.time << "  "
+        << plain(it.fields.value("process", nlohmann::ordered_json(""))) << "  "
+        << plain(it.fields["event"]);
+    for (const auto& [name, value] : it.fields.items()) {
+        if (name != "time" && name != "process" && name != "event" && name != "level" &&
+            name != "request") {
+            out << "  " << name << "=" << plain(value);
+        }
+    }
+    out << '\n';
+}
+
+} // namespace
+
+int run_explain(context& it)
+{
+    std::vector<log_line> found;
+    for (const auto& path : it.asked.logs) {
+        std::ifstream in(path);
+        if (!in) {
+            it.err << "cuminpitch: " << path << " can't be read\n";
+            return exit_failed;
+        }
+        std::string line;
+        while (std::getline(in, line)) {
+            auto fields = object_in(line);
+            const bool is_wanted = fields.is_object() && fields.contains("event") &&
+                                   fields.value("request", "") == it.asked.request;
+            if (is_wanted) {
+                const std::string time = fields.value("time", "");
+                found.push_back({time, std::move(fields)});
+            }
+        }
+    }
+    if (found.empty()) {
+        it.err << "cuminpitch: no line about request " << it.asked.request
+               << "; it didn't reach these processes, or its lines were dropped\n";
+        return exit_failed;
+    }
+    std::stable_sort(found.begin(), found.end(), [](const auto& a, const auto& b) {
+        return a.time < b.time;
+    });
+    for (const auto& line : found) {
+        print(line, it.out);
+    }
+    return exit_done;
+}
+
+} // namespace cuminpitch::cli
--- a/src/cli/run.cpp
+++ b/src/cli/run.cpp
@@ -120,6 +120,7 @@
         add_folder_commands();
         add_read_commands();
         add_group_commands();
+        add_explain_command();
     }
 
     int run(int argc, const char* const* argv, std::ostream& out, std::ostream& err)
@@ -168,7 +169,7 @@
             it->add_option("DIR", asked_.folder, "Folder with teams/")->required();
             it->add_option("--team", texts_.team, "Only this team's subtree");
         }
-        needs_no_control_ = validate;
+        needs_no_control_ = {validate};
         apply->add_option(
             "--base-revision",
             texts_.base_revision,
@@ -226,9 +227,24 @@
         return check_group_commands();
     }
 
+    void add_explain_command()
+    {
+        auto* explain =
+            add("explain", "Prints what logs say of one request", run_explain);
+        explain->add_option("ID", asked_.request, "Id that the caller gave the request")
+            ->required();
+        explain->add_option("FILE", asked_.logs, "Logs of entries and control instances")
+            ->required();
+        needs_no_control_.push_back(explain);
+    }
+
     refusal check_common()
     {
-        if (!needs_no_control_->parsed()) {
+        const bool needs_control = std::none_of(
+            needs_no_control_.begin(), needs_no_control_.end(), [](const CLI::App* it) {
+                return it->parsed();
+            });
+        if (needs_control) {
             if (auto it = check(
                     "control",
                     texts_.control,
@@ -315,7 +331,7 @@
     texts texts_;
     options asked_;
     command command_;
-    CLI::App* needs_no_control_ = nullptr;
+    std::vector<const CLI::App*> needs_no_control_;
     CLI::App* init_ = nullptr;
     CLI::App* reassign_ = nullptr;
 };
--- a/src/config/loader.cpp
+++ b/src/config/loader.cpp
@@ -91,9 +91,11 @@
         for (const auto& kind : children(team)) {
             const std::string path = absl::StrCat(team, "/", kind);
             std::error_code ec;
-            if ((kind != "pools" && kind != "routes") ||
-                !fs::is_directory(root_ / path, ec)) {
-                report(path, "unexpected; allowed here: folders pools/ and routes/");
+            const bool is_kind = kind == "pools" || kind == "routes" || kind == "limits";
+            if (!is_kind || !fs::is_directory(root_ / path, ec)) {
+                report(
+                    path,
+                    "unexpected; allowed here: folders pools/, routes/ and limits/");
                 continue;
             }
             for (const auto& name : children(path)) {
--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -49,7 +49,7 @@
     {
     }
 
-    int run();
+    int run(signal_inbox& signals);
 
 private:
     using inbox = std::vector<control::node_event>;
@@ -104,9 +104,8 @@
     std::unique_ptr<http::server> directory_server_; ///< Null without such an address.
 };
 
-int control_daemon::run()
+int control_daemon::run(signal_inbox& signals)
 {
-    signal_inbox signals;
     if (!load_node() || !open()) {
         return 1;
     }
@@ -373,6 +372,7 @@
 
 int run_control(const core::control_settings& settings, const control_extras& extras)
 {
+    signal_inbox signals; // Before the log starts a thread.
     telemetry::start_log(
         "cuminpitch-control", settings.log_level, telemetry::log_output::standard_output);
     std::random_device device;
@@ -403,7 +403,8 @@
             return 1;
         }
     }
-    return control_daemon(settings, extras, std::move(storage).value(), random).run();
+    return control_daemon(settings, extras, std::move(storage).value(), random)
+        .run(signals);
 }
 
 } // namespace cuminpitch::daemon
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -80,7 +80,7 @@
     {
     }
 
-    int run();
+    int run(signal_inbox& signals);
 
 private:
     bool open();
@@ -128,9 +128,8 @@
     std::unique_ptr<http::server> readiness_server_; ///< Null without such an address.
 };
 
-int entry_daemon::run()
+int entry_daemon::run(signal_inbox& signals)
 {
-    signal_inbox signals;
     if (!open()) {
         return 1;
     }
@@ -318,9 +317,10 @@
 
 int run_entry(const core::entry_settings& settings, const entry_extras& extras)
 {
+    signal_inbox signals; // Before the log starts a thread.
     telemetry::start_log(
         "cuminpitch-entry", settings.log_level, telemetry::log_output::standard_output);
-    return entry_daemon(settings, extras).run();
+    return entry_daemon(settings, extras).run(signals);
 }
 
 } // namespace cuminpitch::daemon
--- a/src/request/pool_state.cpp
+++ b/src/request/pool_state.cpp
@@ -8,9 +8,11 @@
 
 /// Weight of the newest service time in the running mean.
 constexpr double newest_weight = 0.05;
-/// An idempotent request that fails costs a retry, any other one is lost. So the former
-/// try a suspected server when it is a quarter as suspect as the latter would accept.
-constexpr double idempotent_suspicion_weight = 0.25;
+/// A failure just now outweighs the distance of another server: a far one costs bytes, a
+/// failing one the request. An idempotent request that fails costs a retry only, and
+/// finds out whether the server is well again.
+constexpr double suspicion_weight = 1.4;
+constexpr double idempotent_suspicion_weight = 0.35;
 /// Fewer intervals between turns say too little.
 constexpr int least_pace_samples = 20;
 
@@ -74,7 +76,8 @@
 {
     const server_slots* best = nullptr;
     std::uint64_t ties = 0;
-    const double weight = it.route->idempotent ? idempotent_suspicion_weight : 1;
+    const double weight =
+        it.route->idempotent ? idempotent_suspicion_weight : suspicion_weight;
     const double far = far_penalty(it.message->body.size());
     const auto load = [weight, far](const server_slots& server) {
         return static_cast<double>(server.in_flight + server.view.elsewhere) /
--- a/tests/cli/run_test.cpp
+++ b/tests/cli/run_test.cpp
@@ -248,5 +248,35 @@
     }
 }
 
+// Guards against a complaint that can't be followed through the logs of several
+// processes.
+TEST(cli_explain, prints_the_lines_of_one_request_in_order_of_time)
+{
+    const config::folder logs;
+    logs.write(
+        "a.log",
+        R"(0.3 edge-1 {"time":"2026-01-01T00:00:02Z","process":"e","event":"refused","request":"r1","status":502}
+not JSON
+{"time":"2026-01-01T00:00:03Z","process":"e","event":"sent","request":"r2"}
+)");
+    logs.write(
+        "b.log",
+        R"({"time":"2026-01-01T00:00:01Z","process":"e","event":"sent","request":"r1","server":"s"}
+)");
+    const auto it = run_command(
+        {"explain",
+         "r1",
+         logs.path().string() + "/a.log",
+         logs.path().string() + "/b.log"});
+    EXPECT_EQ(it.status, exit_done) << it.err;
+    EXPECT_EQ(
+        it.out,
+        "2026-01-01T00:00:01Z  e  sent  server=s\n"
+        "2026-01-01T00:00:02Z  e  refused  status=502\n");
+    EXPECT_EQ(
+        run_command({"explain", "r9", logs.path().string() + "/a.log"}).status,
+        exit_failed);
+}
+
 } // namespace
 } // namespace cuminpitch::cli
--- /dev/null
+++ b/tests/net/frame_compression_test.cpp
@@ -0,0 +1,44 @@
+#include "cuminpitch/net/compression.hpp"
+#include "net/frame_codec_priv.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cuminpitch::net {
+namespace {
+
+std::optional<frame_reader::raw_frame> read_back(const std::string& bytes)
+{
+    frame_reader it(1U << 20U);
+    it.append(bytes.data(), bytes.size());
+    return it.next();
+}
+
+// Guards against a long frame that arrives as something else, or isn't made shorter.
+TEST(frame_compression, long_payloads_come_back_whole)
+{
+    std::string text;
+    for (int i = 0; i < 2000; ++i) {
+        text += "teams/t/routes/r-" + std::to_string(i) + "/deadline_ms 2500;";
+    }
+    const auto bytes = encode_frame(2, text);
+    EXPECT_LT(bytes.size(), text.size() / 4);
+    const auto it = read_back(bytes);
+    ASSERT_TRUE(it.has_value());
+    EXPECT_EQ(it->channel, 2);
+    EXPECT_EQ(it->payload, text);
+}
+
+// Guards against a damaged or endless frame that takes the process's memory.
+TEST(frame_compression, damaged_and_too_long_ones_are_refused)
+{
+    const std::string text(100'000, 'x');
+    auto bytes = encode_frame(2, text);
+    bytes[bytes.size() / 2] = static_cast<char>(~bytes[bytes.size() / 2]);
+    EXPECT_FALSE(read_back(bytes).has_value());
+    EXPECT_FALSE(expand(compress(text), text.size() - 1).has_value());
+    EXPECT_EQ(expand(compress(text), text.size()), text);
+    EXPECT_FALSE(expand("abc", 10).has_value());
+}
+
+} // namespace
+} // namespace cuminpitch::net
