--- a/src/net/tcp_transport.cpp
+++ b/src/net/tcp_transport.cpp
@@ -29,9 +29,10 @@
 /// A peer that refuses connections is not asked more often than this.
 constexpr absl::Duration reconnect_interval = absl::Milliseconds(100);
 
-/// Data that the peer's kernel does not acknowledge for this long ends the connection, so
-/// that a peer that comes back does not get messages from long ago.
-constexpr unsigned user_timeout_ms = 5000;
+/// Data that the peer's kernel does not acknowledge for this long ends the connection. A
+/// peer that comes back doesn't get messages from long ago, and a connection that fell
+/// silent is replaced before changes have to be in force, two seconds after their commit.
+constexpr unsigned user_timeout_ms = 1500;
 
 constexpr auto last_channel = static_cast<std::uint8_t>(channel::group);
 
