Look for changed seeds in one place; drop faded suspicions

Both daemons had the same throttled look at the settings; seed_watch serves them. Nothing called suspicion::forget_faded, so each server that ever failed stayed in memory; it is called when the list of servers changes. What is forgotten counted as no suspicion already.

--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -11,6 +11,7 @@
 #include "daemon/clock_priv.hpp"
 #include "daemon/fault_injection_priv.hpp"
 #include "daemon/listeners_priv.hpp"
+#include "daemon/seed_watch_priv.hpp"
 #include "daemon/signal_inbox_priv.hpp"
 
 #include <absl/base/thread_annotations.h>
@@ -60,7 +61,6 @@
     void put(control::node_event it);
     inbox take_inbox();
     bool handle_batch(signal_inbox& signals);
-    void check_seeds(bool is_asked, inbox& events);
 
     // Each returns false if the process must end.
     bool run(consensus::write_hard_state& it) { return check(storage_->write(it)); }
@@ -79,7 +79,7 @@
 
     const core::control_settings& settings_;
     const control_extras& extras_;
-    absl::Time next_seed_check_ = absl::InfinitePast();
+    seed_watch seeds_{extras_.seeds};
     std::unique_ptr<consensus::file_storage> storage_;
     core::random_source random_;
     telemetry::metrics metrics_;
@@ -265,20 +265,6 @@
     return std::exchange(inbox_, {});
 }
 
-/// Looks for other seeds in the settings, after a signal and from time to time.
-void control_daemon::check_seeds(bool is_asked, inbox& events)
-{
-    const absl::Time now = monotonic_now();
-    if (!extras_.seeds || (!is_asked && now < next_seed_check_)) {
-        return;
-    }
-    next_seed_check_ = now + settings_check_interval;
-    if (auto seeds = extras_.seeds()) {
-        std::erase(*seeds, settings_.internal);
-        events.emplace_back(control::event::peers_changed{std::move(*seeds)});
-    }
-}
-
 bool control_daemon::handle_batch(signal_inbox& signals)
 {
     inbox events = take_inbox();
@@ -290,7 +276,10 @@
     if (signal == process_signal::reload) {
         telemetry::log(telemetry::severity::info, "reload", {{"id", settings_.id.str()}});
     }
-    check_seeds(signal == process_signal::reload, events);
+    if (auto seeds = seeds_.check(monotonic_now(), signal == process_signal::reload)) {
+        std::erase(*seeds, settings_.internal);
+        events.emplace_back(control::event::peers_changed{std::move(*seeds)});
+    }
     for (auto& it : events) {
         node_->handle(monotonic_now(), std::move(it));
     }
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -10,6 +10,7 @@
 #include "daemon/clock_priv.hpp"
 #include "daemon/fault_injection_priv.hpp"
 #include "daemon/listeners_priv.hpp"
+#include "daemon/seed_watch_priv.hpp"
 #include "daemon/signal_inbox_priv.hpp"
 #include "entry/api_priv.hpp"
 
@@ -89,7 +90,6 @@
     void execute(entry::node_action& it) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void wait_for_flush();
     void answer_readiness(const http::request& message, http::exchange& exchange);
-    void check_seeds(bool is_asked);
 
     void run(entry::action::http_respond& it) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void run(entry::action::start_call& it) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -107,7 +107,7 @@
 
     const core::entry_settings& settings_;
     const entry_extras& extras_;
-    absl::Time next_seed_check_ = absl::InfinitePast();
+    seed_watch seeds_{extras_.seeds};
     telemetry::metrics metrics_;
     std::atomic<bool> finished_ = false;
 
@@ -148,7 +148,10 @@
             telemetry::log(
                 telemetry::severity::info, "reload", {{"id", settings_.id.str()}});
         }
-        check_seeds(signal == process_signal::reload);
+        if (auto seeds =
+                seeds_.check(monotonic_now(), signal == process_signal::reload)) {
+            handle(entry::event::control_changed{std::move(*seeds)});
+        }
         handle(entry::event::tick{});
     }
     wait_for_flush();
@@ -203,18 +206,6 @@
     exchange.respond(std::move(it));
 }
 
-void entry_daemon::check_seeds(bool is_asked)
-{
-    const absl::Time now = monotonic_now();
-    if (!extras_.seeds || (!is_asked && now < next_seed_check_)) {
-        return;
-    }
-    next_seed_check_ = now + settings_check_interval;
-    if (auto seeds = extras_.seeds()) {
-        handle(entry::event::control_changed{std::move(*seeds)});
-    }
-}
-
 void entry_daemon::receive(
     http::request message, const std::shared_ptr<http::exchange>& exchange)
 {
--- /dev/null
+++ b/src/daemon/seed_watch_priv.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "cuminpitch/daemon/seed_source.hpp"
+
+#include <absl/time/time.h>
+
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace cuminpitch::daemon {
+
+/// Looks for other seeds in the settings, after a signal and from time to time.
+class seed_watch
+{
+public:
+    explicit seed_watch(seed_source source) : source_(std::move(source)) {}
+
+    /// The seeds if they have changed. `is_asked`: a signal says that they may have.
+    std::optional<std::vector<core::endpoint>> check(absl::Time now, bool is_asked)
+    {
+        if (!source_ || (!is_asked && now < next_check_)) {
+            return std::nullopt;
+        }
+        next_check_ = now + settings_check_interval;
+        return source_();
+    }
+
+private:
+    seed_source source_;
+    absl::Time next_check_ = absl::InfinitePast();
+};
+
+} // namespace cuminpitch::daemon
--- a/src/entry/shared_pool.cpp
+++ b/src/entry/shared_pool.cpp
@@ -28,6 +28,7 @@
         return !is_same;
     }
     source_ = view.servers;
+    suspicion_.forget_faded(now);
     absl::btree_map<core::server_id, server> next;
     if (const auto listed = source_->find(id_); listed != source_->end()) {
         for (const auto& record : listed->second) {
