--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,6 +2,7 @@
 
 #include "cuminpitch/http/refusal.hpp"
 #include "disconnect_watcher_priv.hpp"
+#include "lingering_closer_priv.hpp"
 #include "suspended_exchange_priv.hpp"
 #include "target_priv.hpp"
 
@@ -147,6 +148,7 @@
     std::atomic<std::size_t> in_flight_{0};
     std::atomic<bool> is_listening_{true};
     disconnect_watcher watcher_;
+    lingering_closer closer_;
     absl::Mutex mutex_;
     absl::flat_hash_set<int> sockets_ ABSL_GUARDED_BY(mutex_); ///< Open connections.
     MHD_Daemon* daemon_ = nullptr;
@@ -231,6 +233,9 @@
         self.sockets_.insert(info->connect_fd);
     } else {
         self.sockets_.erase(info->connect_fd);
+        if (self.is_listening_) {
+            self.closer_.linger(std::chrono::steady_clock::now(), info->connect_fd);
+        }
     }
 }
 
