--- a/include/cuminpitch/control/node.hpp
+++ b/include/cuminpitch/control/node.hpp
@@ -37,8 +37,10 @@
     absl::Duration silent_voter_timeout = absl::Seconds(15);
     /// Time between changes of members; each needs a commit.
     absl::Duration member_interval = absl::Milliseconds(50);
-    /// Entries in an answer to callers at most.
+    /// Entries in an answer to callers, more if servers have many slots.
     std::size_t entries_per_answer = 3;
+    /// Slots of servers that one entry can keep in use; 0: no further entries are named.
+    std::size_t slots_per_entry = 0;
     /// An entry that was not heard from for this long is not named to callers: two and a
     /// half intervals of its presence.
     absl::Duration presence_timeout = absl::Milliseconds(2600);
--- a/include/cuminpitch/core/process_settings.hpp
+++ b/include/cuminpitch/core/process_settings.hpp
@@ -31,8 +31,11 @@
     bool form_group = false;
     /// `--directory`, a second HTTP address, for callers that ask which entries to use.
     std::optional<endpoint> directory;
-    /// `--entries-per-answer`, entries named to a caller at most.
+    /// `--entries-per-answer`, entries named to a caller.
     std::uint32_t entries_per_answer = 3;
+    /// `--slots-per-entry`, slots of servers that one entry can keep in use. Where
+    /// servers have more, more entries are named. 0: never.
+    std::uint32_t slots_per_entry = 0;
     telemetry::severity log_level = telemetry::severity::info; ///< `--log-level`.
     bool fault_injection = false; ///< `--fault-injection`, only for tests.
 };
--- a/src/control/entry_roster.cpp
+++ b/src/control/entry_roster.cpp
@@ -2,10 +2,34 @@
 
 #include "cuminpitch/core/hash.hpp"
 
+#include <absl/container/btree_set.h>
+
 #include <algorithm>
 
 namespace cuminpitch::control {
 
+std::size_t entries_to_name(const entry_demand& it, std::size_t domains)
+{
+    if (it.slots_per_entry == 0) {
+        return it.least;
+    }
+    const std::size_t slots_per_answer =
+        it.slots_per_entry * std::max<std::size_t>(1, domains);
+    const std::size_t needed = (it.slots + slots_per_answer - 1) / slots_per_answer;
+    return std::max(it.least, std::min(it.most, needed));
+}
+
+std::size_t entry_roster::domains(absl::Time now, absl::Duration timeout) const
+{
+    absl::btree_set<core::failure_domain_id> found;
+    for (const auto& [id, it] : entries_) {
+        if (it.is_usable(now, timeout)) {
+            found.insert(it.record.failure_domain);
+        }
+    }
+    return found.size();
+}
+
 void entry_roster::receive(absl::Time now, const presence& it)
 {
     auto& known = entries_[it.entry.id];
@@ -23,7 +47,7 @@
 {
     std::vector<const entry*> usable;
     for (const auto& [id, it] : entries_) {
-        if (it.ready && now - it.heard <= timeout) {
+        if (it.is_usable(now, timeout)) {
             usable.push_back(&it);
         }
     }
--- a/src/control/node_calls.cpp
+++ b/src/control/node_calls.cpp
@@ -9,6 +9,9 @@
 namespace cuminpitch::control {
 namespace {
 
+/// Callers need not take more addresses from an answer.
+constexpr std::size_t most_entries_per_answer = 64;
+
 /// The operations that turn the settings of a team into `wanted`.
 std::vector<operation> difference(
     const settings_tree& present, const core::team_id& team, const settings_tree& wanted)
@@ -209,10 +212,33 @@
 
 // Entries.
 
+/// Counted once for each revision, as callers ask far more often than servers change.
+std::size_t node::impl::slots_of_servers()
+{
+    if (slots_counted_at_ != state_.revision()) {
+        slots_counted_at_ = state_.revision();
+        slots_ = 0;
+        for (const auto& [id, it] : state_.contents().servers) {
+            const bool is_active =
+                it.announcement.state == upstream::availability::active;
+            slots_ += is_active ? it.announcement.slots : 0;
+        }
+    }
+    return slots_;
+}
+
 void node::impl::take(call::list_entries& it)
 {
+    const entry_demand demand{
+        options_.entries_per_answer,
+        most_entries_per_answer,
+        slots_of_servers(),
+        options_.slots_per_entry};
     auto records = roster_.choose(
-        now_, it.caller_domain, options_.entries_per_answer, options_.presence_timeout);
+        now_,
+        it.caller_domain,
+        entries_to_name(demand, roster_.domains(now_, options_.presence_timeout)),
+        options_.presence_timeout);
     if (records.empty()) {
         answer(it.id, call_result::unavailable{"no entry is ready"});
         return;
--- a/src/control/node_impl_priv.hpp
+++ b/src/control/node_impl_priv.hpp
@@ -60,6 +60,7 @@
     void take(call::read_document& it);
     void take(call::announce& it);
     void take(call::list_entries& it);
+    std::size_t slots_of_servers();
     void continue_documents();
     void propose_document(call::declare it, absl::Time deadline);
     bool conclude_call(core::log_index index, core::term term, const outcome& it);
@@ -156,6 +157,8 @@
     absl::btree_map<core::log_index, pending_call> calls_;
     std::deque<pending_read> reads_;
     entry_roster roster_;
+    core::revision slots_counted_at_;
+    std::size_t slots_ = 0;
     absl::btree_map<core::instance_id, absl::Time> next_relays_;
     absl::Time leader_since_ = absl::InfiniteFuture();
     absl::Time next_member_change_ = absl::InfinitePast();
--- a/src/core/process_settings.cpp
+++ b/src/core/process_settings.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t max_seeds = 64;
 const std::vector<std::string> truth_values = {"false", "true"};
 constexpr std::uint32_t max_entries_per_answer = 64;
+constexpr std::uint32_t max_slots_per_entry = 1'000'000;
 
 /// An endpoint that may be left out.
 setting_type<std::vector<endpoint>> optional_endpoint_setting()
@@ -141,10 +142,17 @@
         "");
     parser.add(
         "entries-per-answer",
-        "Entries named to a caller at most",
+        "Entries named to a caller",
         count_setting(1, max_entries_per_answer),
         it.entries_per_answer,
         "3");
+    parser.add(
+        "slots-per-entry",
+        "Slots of backend servers that one entry can keep in use; where servers have "
+        "more, more entries are named; 0: never",
+        count_setting(0, max_slots_per_entry),
+        it.slots_per_entry,
+        "0");
     if (auto ended = parser.parse(argc, argv)) {
         return *ended;
     }
--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -153,6 +153,7 @@
     std::erase(options.peers, settings_.internal);
     options.admits_members = !settings_.seeds.empty();
     options.entries_per_answer = settings_.entries_per_answer;
+    options.slots_per_entry = settings_.slots_per_entry;
     if (options.admits_members) {
         options.relay_interval = relay_interval;
         options.hello_interval = hello_interval;
--- a/tests/control/entry_roster_test.cpp
+++ b/tests/control/entry_roster_test.cpp
@@ -94,5 +94,30 @@
     EXPECT_EQ(choose("a", 2), before);
 }
 
+// Guards against a few entries that are named to all callers of many servers, and can't
+// carry their requests.
+TEST_F(entry_roster_test, names_more_entries_for_more_servers)
+{
+    entry_demand demand{2, 64, 144, 18};
+    EXPECT_EQ(entries_to_name(demand, 4), 2U);
+    demand.slots = 1008;
+    EXPECT_EQ(entries_to_name(demand, 4), 14U);
+    EXPECT_EQ(entries_to_name(demand, 2), 28U);
+    demand.slots = 100'000;
+    EXPECT_EQ(entries_to_name(demand, 4), 64U);
+    demand.slots_per_entry = 0;
+    EXPECT_EQ(entries_to_name(demand, 4), 2U);
+}
+
+// Guards against a count that divides the servers among domains without a ready entry.
+TEST_F(entry_roster_test, counts_domains_with_ready_entries)
+{
+    hear("a1", "a");
+    hear("a2", "a");
+    hear("b1", "b", false);
+    EXPECT_EQ(roster.domains(now, absl::Seconds(2)), 1U);
+    EXPECT_EQ(roster.domains(now + absl::Seconds(3), absl::Seconds(2)), 0U);
+}
+
 } // namespace
 } // namespace cuminpitch::control
--- a/tests/http/raw_socket.hpp
+++ b/tests/http/raw_socket.hpp
@@ -70,6 +70,11 @@
     {
         return read_until(socket_, [](const auto&) { return false; });
     }
+    /// False if the server has reset the connection.
+    bool can_send(const std::string& bytes) const
+    {
+        return ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) >= 0;
+    }
     std::string read_to(const std::string& end) const
     {
         return read_until(
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -103,6 +103,24 @@
     EXPECT_TRUE(wait_for([&] { return it->in_flight() == 0; }));
 }
 
+// Guards against a refusal that is lost: a socket closed with unread input is reset, and
+// the reset discards what the caller has not read yet.
+TEST(server, refusal_outlives_input_that_comes_later)
+{
+    const auto it = start(&echo);
+    const raw_caller caller(it->listening().port);
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n");
+    absl::SleepFor(absl::Milliseconds(100)); // The response is sent by now.
+    int written = 0;
+    for (int i = 0; i < 3; ++i) {
+        written += caller.can_send(std::string(10000, 'x')) ? 1 : 0;
+        absl::SleepFor(absl::Milliseconds(20));
+    }
+    EXPECT_EQ(written, 3);
+    EXPECT_EQ(status_of(caller.read_all()), "400");
+}
+
 // Guards against unbounded bodies, and against refusals without a verdict.
 TEST(server, refuses_long_bodies_as_not_run)
 {
