Answer callers that ask which entries to use at the entries too

Control now tells each entry the answer for its failure domain; the entry keeps it while control is away. The metrics response is made in one place, with the gauges also at the readiness address.

--- a/include/cuminpitch/control/sync.hpp
+++ b/include/cuminpitch/control/sync.hpp
@@ -30,8 +30,10 @@
     core::revision in_force;
     bool draining = false;
     std::vector<contact_age> contacts;
-    /// control_hash_of() the control instances that the entry knows.
+    /// endpoints_hash() of the control instances that the entry knows, and of the entries
+    /// that it names to callers.
     std::uint64_t control_hash = 0;
+    std::uint64_t named_hash = 0;
 
     friend bool operator==(const sync_request&, const sync_request&) = default;
 };
@@ -62,6 +64,9 @@
     /// Internal endpoints of the control instances, sorted; empty if the entry knows
     /// them.
     std::vector<core::endpoint> control;
+    /// HTTP endpoints of the entries that callers in the entry's failure domain should
+    /// use; empty if the entry knows them, or none is ready.
+    std::vector<core::endpoint> named;
 };
 
 /// An entry makes itself known to each control instance, which tells callers about it.
@@ -97,8 +102,8 @@
     friend bool operator==(const pool_evidence&, const pool_evidence&) = default;
 };
 
-/// Tells whether two sorted lists of control instances are the same.
-std::uint64_t control_hash_of(const std::vector<core::endpoint>& sorted);
+/// Tells whether two lists of endpoints in the same order are the same.
+std::uint64_t endpoints_hash(const std::vector<core::endpoint>& list);
 
 /// Between entries: asks for the peer's state if it is newer.
 struct state_request
--- a/include/cuminpitch/core/process_settings.hpp
+++ b/include/cuminpitch/core/process_settings.hpp
@@ -54,6 +54,8 @@
     std::vector<endpoint> seeds;
     /// `--readiness`, HTTP address at which the entry says whether callers may connect.
     std::optional<endpoint> readiness;
+    /// `--directory`, a second HTTP address, for callers that ask which entries to use.
+    std::optional<endpoint> directory;
     /// `--isolation-timeout`: without contact to the fleet for this long, requests are
     /// refused.
     absl::Duration isolation_timeout = absl::Seconds(5);
--- a/include/cuminpitch/entry/node.hpp
+++ b/include/cuminpitch/entry/node.hpp
@@ -82,6 +82,12 @@
     core::revision revision() const;
     /// Callers may connect: declarations are in force and no stop has begun.
     bool is_ready() const;
+    /// Counters, gauges and histograms of this moment, in Prometheus text format.
+    std::string metrics_text();
+    /// HTTP endpoints of the entries that callers of this failure domain should use;
+    /// empty until control has said so. Stays while control is away. Without this entry
+    /// once a stop has begun.
+    std::vector<core::endpoint> named_entries() const;
 
 private:
     class impl;
--- a/include/cuminpitch/http/message.hpp
+++ b/include/cuminpitch/http/message.hpp
@@ -52,5 +52,7 @@
 
 /// A response with a JSON body.
 response json_response(int status, std::string body);
+/// A response with metrics in the Prometheus text format.
+response metrics_response(std::string exposition);
 
 } // namespace cuminpitch::http
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -311,12 +311,18 @@
     return std::min(now_ - since, longest);
 }
 
-void node::impl::complete(sync_response& it, const sync_request& to) const
+void node::impl::complete(sync_response& it, const sync_request& to)
 {
     it.age = state_age();
+    for (const auto& named : entries_for(to.entry.failure_domain)) {
+        it.named.push_back(named.http);
+    }
+    if (endpoints_hash(it.named) == to.named_hash) {
+        it.named.clear();
+    }
     if (options_.admits_members) {
         it.control = member_endpoints();
-        if (control_hash_of(it.control) == to.control_hash) {
+        if (endpoints_hash(it.control) == to.control_hash) {
             it.control.clear();
         }
     }
--- a/src/control/node_calls.cpp
+++ b/src/control/node_calls.cpp
@@ -227,18 +227,24 @@
     return slots_;
 }
 
-void node::impl::take(call::list_entries& it)
+std::vector<entry_record>
+node::impl::entries_for(const core::failure_domain_id& caller_domain)
 {
     const entry_demand demand{
         options_.entries_per_answer,
         most_entries_per_answer,
         slots_of_servers(),
         options_.slots_per_entry};
-    auto records = roster_.choose(
+    return roster_.choose(
         now_,
-        it.caller_domain,
+        caller_domain,
         entries_to_name(demand, roster_.domains(now_, options_.presence_timeout)),
         options_.presence_timeout);
+}
+
+void node::impl::take(call::list_entries& it)
+{
+    auto records = entries_for(it.caller_domain);
     if (records.empty()) {
         answer(it.id, call_result::unavailable{"no entry is ready"});
         return;
--- a/src/control/node_impl_priv.hpp
+++ b/src/control/node_impl_priv.hpp
@@ -61,6 +61,7 @@
     void take(call::announce& it);
     void take(call::list_entries& it);
     std::size_t slots_of_servers();
+    std::vector<entry_record> entries_for(const core::failure_domain_id& caller_domain);
     void continue_documents();
     void propose_document(call::declare it, absl::Time deadline);
     bool conclude_call(core::log_index index, core::term term, const outcome& it);
@@ -80,7 +81,7 @@
     std::vector<core::endpoint> known_instances() const;
     std::vector<core::endpoint> member_endpoints() const;
     absl::Duration state_age() const;
-    void complete(sync_response& it, const sync_request& to) const;
+    void complete(sync_response& it, const sync_request& to);
 
     void run_replica();
     void run(consensus::apply_entry& it);
--- a/src/control/node_operator.cpp
+++ b/src/control/node_operator.cpp
@@ -31,10 +31,7 @@
             "cuminpitch_log_entries",
             static_cast<double>(
                 replica_->last_index().value() - replica_->snapshot_index().value()));
-        http::response it;
-        it.headers.set("Content-Type", "text/plain; version=0.0.4");
-        it.body = metrics_.exposition();
-        respond(id, std::move(it));
+        respond(id, http::metrics_response(metrics_.exposition()));
         return true;
     }
     if (message.path == "/v1/init") {
--- a/src/control/sync.cpp
+++ b/src/control/sync.cpp
@@ -4,10 +4,10 @@
 
 namespace cuminpitch::control {
 
-std::uint64_t control_hash_of(const std::vector<core::endpoint>& sorted)
+std::uint64_t endpoints_hash(const std::vector<core::endpoint>& list)
 {
     std::uint64_t result = 0;
-    for (const auto& it : sorted) {
+    for (const auto& it : list) {
         result = core::hash64(it.str(), result);
     }
     return result;
--- a/src/core/process_settings.cpp
+++ b/src/core/process_settings.cpp
@@ -65,6 +65,16 @@
     parser.add_hidden_flag("fault-injection", to.fault_injection);
 }
 
+void add_directory(setting_parser& parser, std::vector<endpoint>& to)
+{
+    parser.add(
+        "directory",
+        "HTTP address for callers that ask which entries to use",
+        optional_endpoint_setting(),
+        to,
+        "");
+}
+
 template <class Settings>
 void take_common(const common_texts& texts, Settings& to)
 {
@@ -134,12 +144,7 @@
         choice_setting(truth_values),
         form_group,
         "false");
-    parser.add(
-        "directory",
-        "HTTP address for callers that ask which entries to use",
-        optional_endpoint_setting(),
-        directory,
-        "");
+    add_directory(parser, directory);
     parser.add(
         "entries-per-answer",
         "Entries named to a caller",
@@ -185,6 +190,8 @@
         it.control,
         "");
     std::vector<endpoint> readiness;
+    std::vector<endpoint> directory;
+    add_directory(parser, directory);
     parser.add(
         "seeds",
         "Internal endpoints of some control instances, in place of --control",
@@ -223,6 +230,7 @@
     }
     take_common(texts, it);
     it.readiness = first_of(readiness);
+    it.directory = first_of(directory);
     if (stop_limit > absl::ZeroDuration()) {
         it.stop_grace = stop_limit;
     }
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -90,6 +90,7 @@
     void execute(entry::node_action& it) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void wait_for_flush();
     void answer_readiness(const http::request& message, http::exchange& exchange);
+    void answer_directory(const http::request& message, http::exchange& exchange);
 
     void run(entry::action::http_respond& it) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void run(entry::action::start_call& it) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -126,6 +127,7 @@
     std::unique_ptr<http::client> client_;
     std::unique_ptr<http::server> server_;
     std::unique_ptr<http::server> readiness_server_; ///< Null without such an address.
+    std::unique_ptr<http::server> directory_server_; ///< Null without such an address.
 };
 
 int entry_daemon::run(signal_inbox& signals)
@@ -177,15 +179,48 @@
         [this](http::request it, const std::shared_ptr<http::exchange>& exchange) {
             receive(std::move(it), exchange);
         });
-    if (server_ != nullptr && settings_.readiness) {
+    bool is_open = server_ != nullptr;
+    if (is_open && settings_.readiness) {
         readiness_server_ = open_server(
             *settings_.readiness,
             [this](const http::request& it, const std::shared_ptr<http::exchange>& to) {
                 answer_readiness(it, *to);
             });
-        return readiness_server_ != nullptr;
+        is_open = readiness_server_ != nullptr;
     }
-    return server_ != nullptr;
+    if (is_open && settings_.directory) {
+        directory_server_ = open_server(
+            *settings_.directory,
+            [this](const http::request& it, const std::shared_ptr<http::exchange>& to) {
+                answer_directory(it, *to);
+            });
+        is_open = directory_server_ != nullptr;
+    }
+    return is_open;
+}
+
+/// Callers find an entry also while no control instance can be reached.
+void entry_daemon::answer_directory(
+    const http::request& message, http::exchange& exchange)
+{
+    constexpr int not_found = 404;
+    constexpr int unavailable = 503;
+    http::response it;
+    if (extras_.api == nullptr || message.path != extras_.api->directory_path) {
+        it.status = not_found;
+    } else {
+        std::vector<core::endpoint> named;
+        {
+            const absl::MutexLock lock(&mutex_);
+            named = node_.named_entries();
+        }
+        if (named.empty()) {
+            it.status = unavailable;
+        } else {
+            it = extras_.api->encode_entries(named);
+        }
+    }
+    exchange.respond(std::move(it));
 }
 
 void entry_daemon::answer_readiness(
@@ -195,8 +230,8 @@
     constexpr int unavailable = 503;
     http::response it;
     if (message.path == entry::metrics_path) {
-        it.headers.set("Content-Type", "text/plain; version=0.0.4");
-        it.body = metrics_.exposition();
+        const absl::MutexLock lock(&mutex_);
+        it = http::metrics_response(node_.metrics_text());
     } else if (extras_.api == nullptr || message.path != extras_.api->readiness_path) {
         it.status = not_found;
     } else {
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -31,7 +31,8 @@
     it.incarnation = options_.incarnation;
     it.in_force = replica_.revision();
     it.draining = draining_;
-    it.control_hash = control::control_hash_of(control_);
+    it.control_hash = control::endpoints_hash(control_);
+    it.named_hash = control::endpoints_hash(named_);
     if (now >= next_contacts_) {
         next_contacts_ = now + options_.contacts_interval;
         for (const auto& [id, heard] : last_heard_) {
@@ -116,6 +117,9 @@
     if (!it.control.empty()) {
         control_ = it.control;
     }
+    if (!it.named.empty()) {
+        named_ = it.named;
+    }
     if (it.age <= options_.stale_state_limit) {
         last_answer_ = now;
         unanswered_since_ = absl::InfiniteFuture();
--- a/src/entry/control_link_priv.hpp
+++ b/src/entry/control_link_priv.hpp
@@ -32,6 +32,9 @@
     void set_control(std::vector<core::endpoint> it);
     /// All control instances known, or those of the settings.
     const std::vector<core::endpoint>& control() const { return control_; }
+    /// HTTP endpoints of the entries that callers of this failure domain should use, as
+    /// control last said; kept while control is away.
+    const std::vector<core::endpoint>& named() const { return named_; }
     /// When control last confirmed that the state here is the newest.
     absl::Time last_answer() const { return last_answer_; }
     /// Something arrived from this instance.
@@ -78,6 +81,7 @@
 
     const node_options& options_;
     std::vector<core::endpoint> control_;
+    std::vector<core::endpoint> named_;
     control::view_replica replica_;
     bool draining_ = false;
     bool confirmed_ = false;
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -305,6 +305,16 @@
     return impl_->is_ready();
 }
 
+std::string node::metrics_text()
+{
+    return impl_->metrics_text();
+}
+
+std::vector<core::endpoint> node::named_entries() const
+{
+    return impl_->named_entries();
+}
+
 core::revision node::revision() const
 {
     return impl_->revision();
--- a/src/entry/node_answers.cpp
+++ b/src/entry/node_answers.cpp
@@ -20,16 +20,30 @@
     } else if (message.path == status_path) {
         respond(id, status_answer(now_, options_, link_, pools_, condition_));
     } else if (message.path == metrics_path) {
-        publish(now_, link_, pools_, condition_, metrics_);
-        http::response it;
-        it.headers.set("Content-Type", "text/plain; version=0.0.4");
-        it.body = metrics_.exposition();
-        respond(id, std::move(it));
+        respond(id, http::metrics_response(metrics_text()));
     } else {
         respond(id, error_answer(404, "unknown path"));
     }
 }
 
+/// With the gauges of this moment.
+std::string node::impl::metrics_text()
+{
+    if (view_) {
+        publish(now_, link_, pools_, condition_, metrics_);
+    }
+    return metrics_.exposition();
+}
+
+std::vector<core::endpoint> node::impl::named_entries() const
+{
+    auto out = link_.named();
+    if (condition_.is_draining && out.size() > 1) {
+        std::erase(out, options_.self.http);
+    }
+    return out;
+}
+
 std::optional<core::pool_id>
 node::impl::pool_asked_for(const http::request& message) const
 {
--- a/src/entry/node_impl_priv.hpp
+++ b/src/entry/node_impl_priv.hpp
@@ -63,6 +63,8 @@
 
     core::revision revision() const { return link_.replica().revision(); }
     bool is_ready() const { return view_ && routes_ && !condition_.is_draining; }
+    std::vector<core::endpoint> named_entries() const;
+    std::string metrics_text();
 
 private:
     /// Ticks come every 20 ms. After a longer gap, as when the process was frozen, what
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -52,6 +52,14 @@
     return it == query.end() ? std::string() : it->second;
 }
 
+response metrics_response(std::string exposition)
+{
+    response it;
+    it.headers.set("Content-Type", "text/plain; version=0.0.4");
+    it.body = std::move(exposition);
+    return it;
+}
+
 response json_response(int status, std::string body)
 {
     response it;
--- a/src/wire/control_codec.cpp
+++ b/src/wire/control_codec.cpp
@@ -257,6 +257,17 @@
 {
     flatbuffers::FlatBufferBuilder& to;
 
+    std::vector<flatbuffers::Offset<fb::endpoint_fields>>
+    write_endpoints(const std::vector<core::endpoint>& list) const
+    {
+        std::vector<flatbuffers::Offset<fb::endpoint_fields>> out;
+        for (const auto& it : list) {
+            const auto native = to_wire(it);
+            out.push_back(fb::endpoint_fields::Pack(to, &native));
+        }
+        return out;
+    }
+
     flatbuffers::Offset<fb::message> operator()(const model::sync_request& it) const
     {
         fb::sync_requestT body;
@@ -264,6 +275,7 @@
         body.in_force = it.in_force.value();
         body.draining = it.draining;
         body.control_hash = it.control_hash;
+        body.named_hash = it.named_hash;
         for (const auto& contact : it.contacts) {
             auto item = std::make_unique<fb::contact_ageT>();
             item->instance = contact.instance.str();
@@ -283,11 +295,8 @@
             const auto id = to.CreateString(it.leader->id.str());
             leader = fb::Createleader_address(to, id, endpoint);
         }
-        std::vector<flatbuffers::Offset<fb::endpoint_fields>> control;
-        for (const auto& endpoint : it.control) {
-            const auto native = to_wire(endpoint);
-            control.push_back(fb::endpoint_fields::Pack(to, &native));
-        }
+        const auto control = write_endpoints(it.control);
+        const auto named = write_endpoints(it.named);
         const auto at = fb::Createsync_responseDirect(
             to,
             newer.type,
@@ -296,7 +305,8 @@
             leader,
             it.confirmed,
             absl::ToInt64Microseconds(it.age),
-            control.empty() ? nullptr : &control);
+            control.empty() ? nullptr : &control,
+            named.empty() ? nullptr : &named);
         return fb::Createmessage(to, fb::message_body::sync_response, at.Union());
     }
     flatbuffers::Offset<fb::message> operator()(const model::state_request& it) const
@@ -405,6 +415,19 @@
 }
 
 using string_vector = flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>;
+using endpoint_vector = flatbuffers::Vector<flatbuffers::Offset<fb::endpoint_fields>>;
+
+/// The list may be left out.
+bool read(const endpoint_vector* in, std::vector<core::endpoint>& out)
+{
+    bool ok = true;
+    if (in != nullptr) {
+        for (const auto* it : *in) {
+            ok = ok && read(*it, out.emplace_back());
+        }
+    }
+    return ok;
+}
 
 bool read(const string_vector& in, std::vector<core::instance_id>& out)
 {
@@ -599,6 +622,7 @@
     it.in_force = core::revision(in.in_force());
     it.draining = in.draining();
     it.control_hash = in.control_hash();
+    it.named_hash = in.named_hash();
     for (const auto* contact : *in.contacts()) {
         it.contacts.push_back(
             {core::instance_id(contact->instance()->str()),
@@ -620,11 +644,7 @@
         ok = ok && read(*leader->internal(), it.leader->internal);
     }
     it.age = absl::Microseconds(in.age_us());
-    if (in.control() != nullptr) {
-        for (const auto* endpoint : *in.control()) {
-            ok = ok && read(*endpoint, it.control.emplace_back());
-        }
-    }
+    ok = ok && read(in.control(), it.control) && read(in.named(), it.named);
     out = std::move(it);
     return ok;
 }
--- a/tests/control/control_codec_test.cpp
+++ b/tests/control/control_codec_test.cpp
@@ -37,8 +37,17 @@
             5,
             rev(8),
             true,
-            {{core::instance_id("e2"), absl::Milliseconds(250)}}},
-        sync_response{changes, rev(4), leader, true},
+            {{core::instance_id("e2"), absl::Milliseconds(250)}},
+            7,
+            9},
+        sync_response{
+            changes,
+            rev(4),
+            leader,
+            true,
+            absl::Milliseconds(3),
+            {{"127.0.0.1", 11}},
+            {{"127.0.0.1", 21}, {"127.0.0.1", 22}}},
         sync_response{shared, rev(4), std::nullopt, false},
         state_request{rev(3)},
         state_response{rev(4), shared},
@@ -67,6 +76,9 @@
     EXPECT_EQ(pushed.current, sent.current);
     EXPECT_EQ(pushed.leader, sent.leader);
     EXPECT_TRUE(pushed.confirmed);
+    EXPECT_EQ(pushed.age, sent.age);
+    EXPECT_EQ(pushed.control, sent.control);
+    EXPECT_EQ(pushed.named, sent.named);
     using contents_ptr = std::shared_ptr<const fleet_contents>;
     const auto& expected = *std::get<state_response>(messages[4]).contents;
     EXPECT_EQ(*std::get<contents_ptr>(std::get<sync_response>(back[2]).update), expected);
--- /dev/null
+++ b/tests/entry/directory_test.cpp
@@ -0,0 +1,95 @@
+#include "entry/control_link_priv.hpp"
+
+#include "cuminpitch/config/compile.hpp"
+#include "cuminpitch/control/declared_settings.hpp"
+#include "cuminpitch/wire/control_codec.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cuminpitch::entry {
+namespace {
+
+const core::endpoint control_at{"10.0.0.9", 7000};
+const net::peer control_peer{core::instance_id("c1"), control_at};
+const core::endpoint self_http{"10.0.0.1", 80};
+const core::endpoint other_http{"10.0.0.2", 80};
+
+node_options make_options()
+{
+    node_options it;
+    it.self = {
+        core::instance_id("e1"),
+        self_http,
+        {"10.0.0.1", 7000},
+        core::failure_domain_id("a")};
+    it.control = {control_at};
+    return it;
+}
+
+class directory_test : public testing::Test
+{
+protected:
+    directory_test() : entry(make_options(), control::make_compile_function(), metrics) {}
+
+    void hear(std::vector<core::endpoint> named)
+    {
+        control::sync_response it;
+        it.update = control::delta{};
+        it.named = std::move(named);
+        const net::frame frame{net::channel::control, wire::encode(control::message(it))};
+        entry.handle(now, event::frame_received{control_peer, frame});
+    }
+
+    /// The hash of the named entries in the next report to control.
+    std::uint64_t reported()
+    {
+        now += absl::Seconds(1);
+        for (auto& it : entry.handle(now, event::tick{})) {
+            if (const auto* sent = std::get_if<action::send_frame>(&it)) {
+                const auto message = wire::decode_control_message(sent->message.payload);
+                if (const auto* report =
+                        std::get_if<control::sync_request>(&message.value())) {
+                    return report->named_hash;
+                }
+            }
+        }
+        ADD_FAILURE() << "no report";
+        return 0;
+    }
+
+    telemetry::metrics metrics;
+    node entry;
+    absl::Time now = absl::FromUnixSeconds(1000);
+};
+
+// Guards against callers without an address while no control instance can be reached:
+// entries name each other as control last said.
+TEST_F(directory_test, names_entries_while_control_is_away)
+{
+    EXPECT_TRUE(entry.named_entries().empty());
+    hear({self_http, other_http});
+    EXPECT_EQ(entry.named_entries().size(), 2U);
+    now += absl::Seconds(60);
+    entry.handle(now, event::tick{});
+    EXPECT_EQ(entry.named_entries().size(), 2U);
+}
+
+// Guards against an answer that loses its entries when control has nothing new to say.
+TEST_F(directory_test, keeps_the_entries_that_control_does_not_repeat)
+{
+    hear({other_http});
+    EXPECT_EQ(reported(), control::endpoints_hash({other_http}));
+    hear({});
+    EXPECT_EQ(entry.named_entries(), std::vector{other_http});
+}
+
+// Guards against callers that are sent to an entry whose planned stop has begun.
+TEST_F(directory_test, stopping_entry_no_longer_names_itself)
+{
+    hear({self_http, other_http});
+    entry.handle(now, event::stop{});
+    EXPECT_EQ(entry.named_entries(), std::vector{other_http});
+}
+
+} // namespace
+} // namespace cuminpitch::entry
