Add a seeded fault soak of the platform's programs

Real processes on loopback addresses, a proxy before each process and each backend server, signals, wiped disks and refused writes; callers, backend servers and an operator compare what they saw. A process may listen elsewhere than at the internal endpoint that others are told (--internal-listen), as behind a forwarder.

--- a/include/cuminpitch/core/process_settings.hpp
+++ b/include/cuminpitch/core/process_settings.hpp
@@ -20,6 +20,8 @@
     std::string data_dir; ///< `--data-dir`, writable folder of this instance alone.
     endpoint http;        ///< `--http`, operator API.
     endpoint internal;    ///< `--internal`, for other processes of the fleet.
+    /// `--internal-listen`, where to listen if not at `internal`, as behind a forwarder.
+    std::optional<endpoint> internal_listen;
     failure_domain_id failure_domain; ///< `--failure-domain`.
     std::vector<endpoint> peers; ///< `--peers`, internal endpoints of the other control
                                  ///< instances; empty for a single instance.
@@ -43,9 +45,11 @@
 /// Settings of cuminpitch-entry.
 struct entry_settings
 {
-    instance_id id;                   ///< `--id`, unique among all instances.
-    endpoint http;                    ///< `--http`, for callers and backend servers.
-    endpoint internal;                ///< `--internal`, for other processes of the fleet.
+    instance_id id;    ///< `--id`, unique among all instances.
+    endpoint http;     ///< `--http`, for callers and backend servers.
+    endpoint internal; ///< `--internal`, for other processes of the fleet.
+    /// `--internal-listen`, where to listen if not at `internal`, as behind a forwarder.
+    std::optional<endpoint> internal_listen;
     failure_domain_id failure_domain; ///< `--failure-domain`.
     std::vector<endpoint> control;    ///< `--control`, internal endpoints of the control
                                       ///< instances.
--- a/include/cuminpitch/net/tcp_transport.hpp
+++ b/include/cuminpitch/net/tcp_transport.hpp
@@ -5,12 +5,15 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 
 namespace cuminpitch::net {
 
 struct tcp_transport_options
 {
-    peer self; ///< Sent to each peer when a connection opens; `internal` is listened on.
+    peer self; ///< Sent to each peer when a connection opens.
+    /// Where to listen if that isn't `self.internal`, as behind a forwarder.
+    std::optional<core::endpoint> listen;
     /// A frame longer than this closes the connection that it came on.
     std::size_t max_frame_bytes = std::size_t{64} << 20U;
     /// Frames that wait for one peer; further ones are dropped. A longer frame is sent if
--- a/src/core/process_settings.cpp
+++ b/src/core/process_settings.cpp
@@ -39,6 +39,7 @@
     std::string id;
     std::string failure_domain;
     std::string log_level;
+    std::vector<endpoint> internal_listen;
 };
 
 template <class Settings>
@@ -51,6 +52,12 @@
         "Address of this instance for other processes of the fleet",
         endpoint_setting(),
         to.internal);
+    parser.add(
+        "internal-listen",
+        "Address to listen on in place of --internal, which others are told",
+        optional_endpoint_setting(),
+        texts.internal_listen,
+        "");
     parser.add(
         "failure-domain",
         "Failure domain of this instance",
@@ -81,6 +88,7 @@
     to.id = instance_id(texts.id);
     to.failure_domain = failure_domain_id(texts.failure_domain);
     to.log_level = severity_of(texts.log_level);
+    to.internal_listen = first_of(texts.internal_listen);
 }
 
 std::string join(const std::vector<endpoint>& list)
--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -180,7 +180,9 @@
 bool control_daemon::open()
 {
     transport_ = open_transport(
-        {settings_.id, settings_.internal}, [this](const net::peer& from, net::frame it) {
+        {settings_.id, settings_.internal},
+        settings_.internal_listen,
+        [this](const net::peer& from, net::frame it) {
             put(control::event::frame_received{from, std::move(it)});
         });
     if (!transport_) {
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -168,7 +168,9 @@
     const absl::MutexLock lock(&mutex_);
     client_ = http::client::create();
     transport_ = open_transport(
-        {settings_.id, settings_.internal}, [this](const net::peer& from, net::frame it) {
+        {settings_.id, settings_.internal},
+        settings_.internal_listen,
+        [this](const net::peer& from, net::frame it) {
             handle(entry::event::frame_received{from, std::move(it)});
         });
     if (!transport_) {
--- a/src/daemon/listeners.cpp
+++ b/src/daemon/listeners.cpp
@@ -18,14 +18,17 @@
 
 } // namespace
 
-std::unique_ptr<net::tcp_transport>
-open_transport(net::peer self, net::transport::handler on_frame)
+std::unique_ptr<net::tcp_transport> open_transport(
+    net::peer self,
+    std::optional<core::endpoint> listen,
+    net::transport::handler on_frame)
 {
     net::tcp_transport_options options;
     options.self = std::move(self);
+    options.listen = std::move(listen);
     auto made = net::tcp_transport::create(options, std::move(on_frame));
     if (!made) {
-        log_failure("internal", options.self.internal);
+        log_failure("internal", options.listen.value_or(options.self.internal));
         return nullptr;
     }
     return std::move(made).value();
--- a/src/daemon/listeners_priv.hpp
+++ b/src/daemon/listeners_priv.hpp
@@ -4,12 +4,16 @@
 #include "cuminpitch/net/tcp_transport.hpp"
 
 #include <memory>
+#include <optional>
 
 namespace cuminpitch::daemon {
 
-/// Listens for other processes of the fleet. Null after logging why it can't.
-std::unique_ptr<net::tcp_transport>
-open_transport(net::peer self, net::transport::handler on_frame);
+/// Listens for other processes of the fleet, at `listen` or at the endpoint of `self`.
+/// Null after logging why it can't.
+std::unique_ptr<net::tcp_transport> open_transport(
+    net::peer self,
+    std::optional<core::endpoint> listen,
+    net::transport::handler on_frame);
 
 /// Listens for HTTP. Null after logging why it can't.
 std::unique_ptr<http::server>
--- a/src/net/tcp_transport.cpp
+++ b/src/net/tcp_transport.cpp
@@ -322,7 +322,7 @@
 core::result<std::unique_ptr<tcp_transport>>
 tcp_transport::create(tcp_transport_options options, handler on_frame)
 {
-    auto listener = open_listener(options.self.internal);
+    auto listener = open_listener(options.listen.value_or(options.self.internal));
     if (!listener) {
         return listener.error();
     }
--- /dev/null
+++ b/tests/soak/ledger.cpp
@@ -0,0 +1,248 @@
+#include "soak/ledger.hpp"
+
+#include <absl/container/btree_set.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace cuminpitch::testing {
+namespace {
+
+/// The bounds of the settings that the soak's fleet stands for (docs/platform.md).
+constexpr absl::Duration departure_bound = absl::Seconds(2);
+constexpr absl::Duration configuration_bound = absl::Seconds(2);
+/// A process that was harmed within this time need not keep bounds.
+constexpr absl::Duration liveness = absl::Seconds(3);
+/// A killed process resets connections; its callers see that a moment later.
+constexpr absl::Duration reset_slack = absl::Milliseconds(500);
+
+constexpr int first_success = 200;
+constexpr int first_redirect = 300;
+constexpr int first_client_error = 400;
+constexpr int request_timeout = 408;
+constexpr int misdirected = 421;
+constexpr int too_many_requests = 429;
+constexpr int first_server_error = 500;
+constexpr int unavailable = 503;
+
+bool is_success(int status)
+{
+    return status >= first_success && status < first_redirect;
+}
+
+bool says_not_run(int status)
+{
+    return status == request_timeout || status == misdirected ||
+           status == too_many_requests || status == unavailable;
+}
+
+} // namespace
+
+std::string body_for(const std::string& request, const std::string& server)
+{
+    constexpr std::size_t body_bytes = 600;
+    std::string out = absl::StrCat(request, " from ", server, " ");
+    out.append(body_bytes, 'b');
+    return out;
+}
+
+void disturbances::add(const std::string& what, absl::Time from, absl::Time to)
+{
+    const absl::MutexLock lock(&mutex_);
+    spans_[what].push_back({from, to});
+}
+
+bool disturbances::is_calm(
+    const std::string& prefix, absl::Time from, absl::Time to) const
+{
+    const absl::MutexLock lock(&mutex_);
+    for (const auto& [name, spans] : spans_) {
+        if (!absl::StartsWith(name, prefix)) {
+            continue;
+        }
+        for (const auto& it : spans) {
+            if (it.from <= to && it.to >= from) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+void ledger::add(request_record it)
+{
+    const absl::MutexLock lock(&mutex_);
+    requests_.push_back(std::move(it));
+}
+
+void ledger::add(arrival_record it)
+{
+    const absl::MutexLock lock(&mutex_);
+    arrivals_.push_back(std::move(it));
+}
+
+void ledger::add_departure(const std::string& server, absl::Time acknowledged)
+{
+    const absl::MutexLock lock(&mutex_);
+    departures_.emplace(server, acknowledged);
+}
+
+void ledger::add_acknowledged(std::uint64_t number, absl::Time at)
+{
+    const absl::MutexLock lock(&mutex_);
+    acknowledged_.emplace_back(at, number);
+}
+
+void ledger::add_read(std::uint64_t number, absl::Time sent)
+{
+    const absl::MutexLock lock(&mutex_);
+    reads_.emplace_back(sent, number);
+}
+
+void ledger::add_problem(std::string it)
+{
+    const absl::MutexLock lock(&mutex_);
+    problems_.push_back(std::move(it));
+}
+
+std::uint64_t ledger::newest_acknowledged() const
+{
+    const absl::MutexLock lock(&mutex_);
+    std::uint64_t out = 0;
+    for (const auto& [at, number] : acknowledged_) {
+        out = std::max(out, number);
+    }
+    return out;
+}
+
+std::size_t ledger::requests() const
+{
+    const absl::MutexLock lock(&mutex_);
+    return requests_.size();
+}
+
+double ledger::served_since(absl::Time it) const
+{
+    const absl::MutexLock lock(&mutex_);
+    double asked = 0;
+    double served = 0;
+    for (const auto& each : requests_) {
+        if (each.sent >= it) {
+            asked += 1;
+            const bool ok = each.result.failure == http::failure::none &&
+                            is_success(each.result.response.status);
+            served += ok ? 1 : 0;
+        }
+    }
+    return asked == 0 ? 0 : served / asked;
+}
+
+std::vector<std::string> ledger::problems(const disturbances& harmed) const
+{
+    const absl::MutexLock lock(&mutex_);
+    auto out = problems_;
+    check_requests(harmed, out);
+    check_departures(harmed, out);
+    check_reads(out);
+    return out;
+}
+
+void ledger::check_requests(
+    const disturbances& harmed, std::vector<std::string>& to) const
+{
+    absl::btree_map<std::string, unsigned> runs;
+    for (const auto& it : arrivals_) {
+        runs[it.request] += it.has_run ? 1 : 0;
+    }
+    for (const auto& it : requests_) {
+        const auto& answer = it.result.response;
+        const unsigned ran = runs[it.id];
+        const auto say = [&](const char* what) {
+            to.push_back(absl::StrCat(
+                what,
+                ": request ",
+                it.id,
+                " at ",
+                it.entry,
+                ", status ",
+                answer.status,
+                ", runs ",
+                ran,
+                ", sent ",
+                absl::FormatTime(it.sent)));
+        };
+        if (it.kind != request_kind::safe && ran > 1) {
+            say("ran twice");
+        }
+        if (it.result.failure != http::failure::none) {
+            // A connection that ends without an answer, at a process that only stopped.
+            const bool was_calm =
+                harmed.is_calm(it.entry, it.sent - reset_slack, it.ended + reset_slack);
+            const bool is_cut = it.result.failure == http::failure::reset ||
+                                it.result.failure == http::failure::short_response;
+            if (is_cut && was_calm && it.result.verdict != core::verdict::not_run) {
+                say("cut without a fault at the entry");
+            }
+            continue;
+        }
+        if (says_not_run(answer.status) && it.kind != request_kind::safe && ran > 0) {
+            say("refused as not run, but ran");
+        }
+        if (is_success(answer.status)) {
+            const std::string server = answer.headers.get("X-Upstream-Signature");
+            if (server.empty() || answer.body != body_for(it.id, server)) {
+                say("not the whole answer to its own request");
+            }
+        }
+        const bool is_client_error = answer.status >= first_client_error &&
+                                     answer.status < first_server_error &&
+                                     !says_not_run(answer.status);
+        if (is_client_error) {
+            say("denied");
+        }
+    }
+}
+
+void ledger::check_departures(
+    const disturbances& harmed, std::vector<std::string>& to) const
+{
+    for (const auto& it : arrivals_) {
+        const auto left = departures_.find(it.server);
+        if (left == departures_.end() || it.at <= left->second + departure_bound) {
+            continue;
+        }
+        if (harmed.is_calm("", left->second - liveness, it.at)) {
+            to.push_back(absl::StrCat(
+                "new work for a server that has left: request ",
+                it.request,
+                " at ",
+                it.server,
+                " ",
+                absl::FormatDuration(it.at - left->second),
+                " after the acknowledgement"));
+        }
+    }
+}
+
+/// Holds for each instance, harmed or not.
+void ledger::check_reads(std::vector<std::string>& to) const
+{
+    for (const auto& [sent, number] : reads_) {
+        for (const auto& [at, acknowledged] : acknowledged_) {
+            if (at + configuration_bound < sent && acknowledged > number) {
+                to.push_back(absl::StrCat(
+                    "old configuration read: ",
+                    number,
+                    ", but ",
+                    acknowledged,
+                    " was acknowledged ",
+                    absl::FormatDuration(sent - at),
+                    " before"));
+                break;
+            }
+        }
+    }
+}
+
+} // namespace cuminpitch::testing
--- /dev/null
+++ b/tests/soak/loopback_proxy.cpp
@@ -0,0 +1,261 @@
+#include "soak/loopback_proxy.hpp"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <absl/synchronization/mutex.h>
+#include <boost/asio.hpp>
+
+#include <array>
+#include <thread>
+
+namespace cuminpitch::testing {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+/// How often a silent direction looks whether it may go on.
+constexpr std::chrono::milliseconds silence_step(5);
+constexpr std::size_t block_bytes = 16384;
+
+tcp::endpoint to_asio(const core::endpoint& it)
+{
+    return {asio::ip::make_address(it.host), it.port};
+}
+
+void close_with_reset(tcp::socket& it)
+{
+    error_code ec; // The socket may be closed already.
+    it.set_option(asio::socket_base::linger(true, 0), ec);
+    it.close(ec);
+}
+
+struct proxy;
+
+/// Two connected sockets, with one block on its way in each direction.
+class pipe : public std::enable_shared_from_this<pipe>
+{
+public:
+    pipe(asio::io_context& io, proxy& owner, tcp::socket caller)
+        : owner_(owner), ends_{std::move(caller), tcp::socket(io)},
+          timers_{asio::steady_timer(io), asio::steady_timer(io)}
+    {
+    }
+
+    void open(const tcp::endpoint& to);
+    void reset()
+    {
+        for (auto& it : ends_) {
+            close_with_reset(it);
+        }
+        for (auto& it : timers_) {
+            it.cancel();
+        }
+    }
+
+private:
+    void read(std::size_t from);
+    void hold(std::size_t from, std::size_t n, std::chrono::nanoseconds wait);
+    void write(std::size_t from, std::size_t n);
+    void finish(std::size_t from, const error_code& why);
+
+    proxy& owner_;
+    std::array<tcp::socket, 2> ends_; ///< The caller and the target.
+    std::array<asio::steady_timer, 2> timers_;
+    std::array<std::array<char, block_bytes>, 2> blocks_{};
+    int ended_ = 0;
+};
+
+struct proxy
+{
+    proxy(asio::io_context& it, const core::endpoint& from, const core::endpoint& to)
+        : io(it), acceptor(it, to_asio(from)), target(to)
+    {
+    }
+
+    void accept()
+    {
+        acceptor.async_accept([this](const error_code& ec, tcp::socket caller) {
+            if (ec) {
+                return;
+            }
+            if (state.refuses) {
+                close_with_reset(caller);
+            } else {
+                const auto it = std::make_shared<pipe>(io, *this, std::move(caller));
+                pipes.insert(it);
+                it->open(to_asio(target));
+            }
+            accept();
+        });
+    }
+
+    asio::io_context& io;
+    tcp::acceptor acceptor;
+    core::endpoint target;
+    proxy_loop::condition state;
+    absl::flat_hash_set<std::shared_ptr<pipe>> pipes;
+};
+
+void pipe::open(const tcp::endpoint& to)
+{
+    ends_[1].async_connect(to, [self = shared_from_this()](const error_code& ec) {
+        if (ec) {
+            self->finish(1, ec);
+            return;
+        }
+        self->read(0);
+        self->read(1);
+    });
+}
+
+void pipe::read(std::size_t from)
+{
+    ends_[from].async_read_some(
+        asio::buffer(blocks_[from]),
+        [self = shared_from_this(), from](const error_code& ec, std::size_t n) {
+            if (ec) {
+                self->finish(from, ec);
+            } else {
+                self->hold(from, n, absl::ToChronoNanoseconds(self->owner_.state.delay));
+            }
+        });
+}
+
+void pipe::hold(std::size_t from, std::size_t n, std::chrono::nanoseconds wait)
+{
+    const auto& state = owner_.state;
+    const bool is_silent = from == 0 ? state.silent_forth : state.silent_back;
+    if (wait.count() == 0 && !is_silent) {
+        write(from, n);
+        return;
+    }
+    timers_[from].expires_after(is_silent ? silence_step : wait);
+    timers_[from].async_wait([self = shared_from_this(), from, n, is_silent](
+                                 const error_code& ec) {
+        if (ec) {
+            return;
+        }
+        const auto wait = is_silent ? absl::ToChronoNanoseconds(self->owner_.state.delay)
+                                    : std::chrono::nanoseconds(0);
+        self->hold(from, n, wait);
+    });
+}
+
+void pipe::write(std::size_t from, std::size_t n)
+{
+    asio::async_write(
+        ends_[1 - from],
+        asio::buffer(blocks_[from].data(), n),
+        [self = shared_from_this(), from](const error_code& ec, std::size_t) {
+            if (ec) {
+                self->finish(1 - from, ec);
+            } else {
+                self->read(from);
+            }
+        });
+}
+
+/// An orderly end goes on as one, in its direction only; anything else resets both ends.
+void pipe::finish(std::size_t from, const error_code& why)
+{
+    if (why == asio::error::eof && ++ended_ < 2) {
+        error_code ec; // The other end may be gone.
+        ends_[1 - from].shutdown(tcp::socket::shutdown_send, ec);
+        return;
+    }
+    if (why == asio::error::eof) {
+        error_code ec; // The other end may be gone.
+        ends_[0].close(ec);
+        ends_[1].close(ec);
+    } else {
+        reset();
+    }
+    owner_.pipes.erase(shared_from_this());
+}
+
+} // namespace
+
+struct proxy_loop::impl
+{
+    asio::io_context io;
+    asio::executor_work_guard<asio::io_context::executor_type> work =
+        asio::make_work_guard(io);
+    mutable absl::Mutex mutex;
+    absl::flat_hash_map<proxy_id, std::unique_ptr<proxy>> proxies;
+    proxy_id last = 0;
+    std::thread thread;
+
+    proxy& at(proxy_id id) const
+    {
+        const absl::MutexLock lock(&mutex);
+        return *proxies.at(id);
+    }
+};
+
+proxy_loop::proxy_loop() : impl_(std::make_unique<impl>())
+{
+    impl_->thread = std::thread([raw = impl_.get()] { raw->io.run(); });
+}
+
+proxy_loop::~proxy_loop()
+{
+    impl_->io.stop();
+    impl_->thread.join();
+    for (auto& [id, it] : impl_->proxies) {
+        it->pipes.clear();
+    }
+}
+
+proxy_loop::proxy_id proxy_loop::add(const core::endpoint& from, const core::endpoint& to)
+{
+    auto made = std::make_unique<proxy>(impl_->io, from, to);
+    auto& it = *made;
+    proxy_id id = 0;
+    {
+        const absl::MutexLock lock(&impl_->mutex);
+        id = ++impl_->last;
+        impl_->proxies[id] = std::move(made);
+    }
+    asio::post(impl_->io, [&it] { it.accept(); });
+    return id;
+}
+
+core::endpoint proxy_loop::listening(proxy_id id) const
+{
+    const auto it = impl_->at(id).acceptor.local_endpoint();
+    return {it.address().to_string(), it.port()};
+}
+
+void proxy_loop::set(proxy_id id, const condition& it)
+{
+    asio::post(impl_->io, [&to = impl_->at(id), it] { to.state = it; });
+}
+
+void proxy_loop::set_target(proxy_id id, const core::endpoint& to)
+{
+    asio::post(impl_->io, [&it = impl_->at(id), to] { it.target = to; });
+}
+
+void proxy_loop::reset(proxy_id id)
+{
+    asio::post(impl_->io, [&it = impl_->at(id)] {
+        for (const auto& each : std::exchange(it.pipes, {})) {
+            each->reset();
+        }
+    });
+}
+
+void proxy_loop::after(absl::Duration delay, std::function<void()> what)
+{
+    auto timer =
+        std::make_shared<asio::steady_timer>(impl_->io, absl::ToChronoNanoseconds(delay));
+    timer->async_wait([timer, what = std::move(what)](const error_code& ec) {
+        if (!ec) {
+            what();
+        }
+    });
+}
+
+} // namespace cuminpitch::testing
--- /dev/null
+++ b/tests/soak/loopback_proxy.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "cuminpitch/core/endpoint.hpp"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace cuminpitch::testing {
+
+/// One thread that runs proxies and timers. All functions are thread-safe.
+class proxy_loop
+{
+public:
+    /// What happens to the bytes of the connections through one proxy.
+    struct condition
+    {
+        absl::Duration delay;
+        bool silent_forth = false; ///< Holds what the connecting side sends.
+        bool silent_back = false;  ///< Holds what the target sends.
+        bool refuses = false;      ///< Resets each new connection.
+    };
+    using proxy_id = std::uint64_t;
+
+    proxy_loop();
+    ~proxy_loop();
+    proxy_loop(const proxy_loop&) = delete;
+    proxy_loop& operator=(const proxy_loop&) = delete;
+
+    /// Forwards connections made to `from` to `to`. With port 0 a free one is taken.
+    proxy_id add(const core::endpoint& from, const core::endpoint& to);
+    core::endpoint listening(proxy_id id) const;
+    void set(proxy_id id, const condition& it);
+    /// New connections go to `to`.
+    void set_target(proxy_id id, const core::endpoint& to);
+    /// Resets all open connections.
+    void reset(proxy_id id);
+
+    /// Runs `what` on the thread of the loop after `delay`.
+    void after(absl::Duration delay, std::function<void()> what);
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace cuminpitch::testing
--- /dev/null
+++ b/tests/soak/soak_run.cpp
@@ -0,0 +1,468 @@
+#include "soak/soak_run.hpp"
+
+#include "cuminpitch/core/hash.hpp"
+#include "soak/soak_fleet.hpp"
+#include "soak/stand_ins.hpp"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <nlohmann/json.hpp>
+
+#include <deque>
+#include <functional>
+
+namespace cuminpitch::testing {
+namespace {
+
+constexpr unsigned first_servers = 6;
+constexpr unsigned callers = 6;
+constexpr absl::Duration request_interval = absl::Milliseconds(60);
+constexpr absl::Duration request_deadline = absl::Seconds(2);
+constexpr absl::Duration keep = absl::Seconds(3);
+constexpr absl::Duration start_timeout = absl::Seconds(20);
+/// `recovery-s` of the platform.
+constexpr absl::Duration recovery = absl::Seconds(15);
+constexpr absl::Duration judged_at_end = absl::Seconds(3);
+constexpr std::size_t upload_bytes = 30000;
+constexpr absl::Duration step = absl::Milliseconds(10);
+
+class soak
+{
+public:
+    explicit soak(const soak_options& it)
+        : options_(it), random_(it.seed), fleet_({it.binaries, 3, 4}, loop_, harmed_),
+          client_(http::client::create())
+    {
+    }
+    ~soak()
+    {
+        stopping_ = true;
+        for (auto& it : threads_) {
+            it.join();
+        }
+        servers_.clear();
+        client_.reset();
+    }
+
+    soak_result run();
+
+private:
+    bool begin();
+    void play_faults();
+    void recover(soak_result& out);
+    void check_last_configuration();
+
+    void add_server();
+    void replace_gone_servers();
+    bool put_configuration(std::uint64_t number);
+    std::uint64_t read_configuration(const core::endpoint& at);
+    void operate();
+    void be_caller(unsigned n);
+    std::vector<core::endpoint> ask(const std::vector<core::endpoint>& directories);
+    void send(const std::string& id, request_kind kind, const core::endpoint& to);
+
+    void fault(unsigned which);
+    void server_fault_now(unsigned which);
+    void wait(absl::Duration length);
+    std::uint64_t pick(std::uint64_t below) { return random_() % below; }
+    std::string any(const std::string& prefix);
+    soak_server& any_server() { return *servers_[pick(servers_.size())]; }
+    void note(std::string it);
+
+    const soak_options options_;
+    core::random_source random_;
+    disturbances harmed_;
+    ledger book_;
+    proxy_loop loop_;
+    soak_fleet fleet_;
+    std::unique_ptr<http::client> client_;
+    std::vector<std::unique_ptr<soak_server>> servers_;
+    std::deque<std::pair<absl::Time, std::function<void()>>> lifts_;
+    std::vector<std::thread> threads_;
+    std::atomic<bool> stopping_{false};
+    std::vector<std::string> faults_;
+    std::vector<std::string> stop_problems_;
+    absl::Time started_ = absl::Now();
+    unsigned last_server_ = 0;
+    std::uint64_t number_ = 1;
+};
+
+void soak::note(std::string it)
+{
+    faults_.push_back(absl::StrCat(
+        absl::FormatDuration(absl::Trunc(absl::Now() - started_, absl::Milliseconds(1))),
+        " ",
+        it));
+}
+
+std::string soak::any(const std::string& prefix)
+{
+    const auto names = fleet_.names(prefix);
+    return names[pick(names.size())];
+}
+
+void soak::add_server()
+{
+    soak_server::place where;
+    where.id = absl::StrCat("s-", ++last_server_);
+    where.service = "soak";
+    where.failure_domain = "d";
+    where.started_ms = absl::ToUnixMillis(absl::Now());
+    servers_.push_back(std::make_unique<soak_server>(
+        where, loop_, *client_, book_, fleet_.control_api(), pick(1U << 30U)));
+}
+
+void soak::replace_gone_servers()
+{
+    const auto gone =
+        std::erase_if(servers_, [](const auto& it) { return it->is_gone(); });
+    for (std::size_t n = 0; n < gone; ++n) {
+        add_server();
+    }
+}
+
+bool soak::put_configuration(std::uint64_t number)
+{
+    for (const auto& at : fleet_.control_api()) {
+        http::client_request it;
+        it.to = at;
+        it.method = "PUT";
+        it.target = "/-/config";
+        it.headers.set("Content-Type", "application/json");
+        it.body = configuration(number);
+        const auto result = call(*client_, std::move(it), absl::Seconds(1));
+        if (result.response.status == 200) {
+            book_.add_acknowledged(number, absl::Now());
+            return true;
+        }
+        if (result.response.status >= 400 && result.response.status < 500) {
+            book_.add_problem(absl::StrCat(
+                "valid configuration refused with ", result.response.status));
+        }
+    }
+    return false;
+}
+
+/// 0 if there is no answer.
+std::uint64_t soak::read_configuration(const core::endpoint& at)
+{
+    http::client_request it;
+    it.to = at;
+    it.method = "GET";
+    it.target = "/-/config";
+    const absl::Time sent = absl::Now();
+    const auto result = call(*client_, std::move(it), absl::Seconds(1));
+    if (result.response.status != 200) {
+        return 0;
+    }
+    const auto read = nlohmann::json::parse(result.response.body, nullptr, false);
+    const std::string version = read.is_object() ? read.value("version", "") : "";
+    std::uint64_t number = 0;
+    if (version.size() < 2 || !absl::SimpleAtoi(version.substr(1), &number) ||
+        result.response.body != configuration(number)) {
+        book_.add_problem("a read returned what no operator sent");
+        return 0;
+    }
+    book_.add_read(number, sent);
+    return number;
+}
+
+/// Changes the configuration and reads it, both often.
+void soak::operate()
+{
+    core::random_source random(options_.seed + 1000);
+    const auto control = fleet_.control_api();
+    while (!stopping_) {
+        // Sent again under the same number until it is acknowledged.
+        if (random() % 3 == 0 && put_configuration(number_ + 1)) {
+            ++number_;
+        }
+        read_configuration(control[random() % control.size()]);
+        absl::SleepFor(absl::Milliseconds(100 + random() % 200));
+    }
+}
+
+std::vector<core::endpoint> soak::ask(const std::vector<core::endpoint>& directories)
+{
+    std::vector<core::endpoint> out;
+    for (const auto& at : directories) {
+        http::client_request it;
+        it.to = at;
+        it.method = "GET";
+        it.target = "/-/resolve?name=soak.example&region=r&zone=d";
+        const auto result = call(*client_, std::move(it), absl::Seconds(1));
+        const auto read = nlohmann::json::parse(result.response.body, nullptr, false);
+        if (result.response.status != 200 || !read.is_object()) {
+            continue;
+        }
+        for (const auto& each : read.value("addresses", std::vector<std::string>())) {
+            if (const auto entry = core::parse_endpoint(each)) {
+                out.push_back(*entry);
+            }
+        }
+        if (!out.empty()) {
+            break;
+        }
+    }
+    return out;
+}
+
+void soak::send(const std::string& id, request_kind kind, const core::endpoint& to)
+{
+    static constexpr const char* paths[] = {"/read/x", "/order/x", "/upload/x"};
+    http::client_request it;
+    it.to = to;
+    it.method = kind == request_kind::safe ? "GET" : "POST";
+    it.target = paths[static_cast<int>(kind)];
+    it.headers.set("Host", "soak.example");
+    it.headers.set("X-Attempt-Id", id);
+    it.headers.set(
+        "X-Deadline-Ms", absl::StrCat(absl::ToInt64Milliseconds(request_deadline)));
+    if (kind == request_kind::upload) {
+        it.body = std::string(upload_bytes, 'u');
+    }
+    request_record record{id, kind, fleet_.entry_at(to), absl::Now(), {}, {}};
+    record.result = call(*client_, std::move(it), request_deadline);
+    record.ended = absl::Now();
+    book_.add(std::move(record));
+}
+
+/// Keeps an answer about entries for a while, longer if there is no new one.
+void soak::be_caller(unsigned n)
+{
+    core::random_source random(options_.seed * 100 + n);
+    std::vector<core::endpoint> entries;
+    absl::Time asked = absl::InfinitePast();
+    for (unsigned i = 0; !stopping_; ++i) {
+        if (absl::Now() - asked > keep) {
+            auto directories = fleet_.directories();
+            std::shuffle(directories.begin(), directories.end(), random);
+            auto named = ask(directories);
+            entries = named.empty() ? entries : std::move(named);
+            asked = absl::Now();
+        }
+        if (!entries.empty()) {
+            const auto kind = static_cast<request_kind>(random() % 3);
+            send(absl::StrCat("q-", n, "-", i), kind, entries[random() % entries.size()]);
+        }
+        absl::SleepFor(request_interval / 2 + request_interval * (random() % 100) / 100);
+    }
+}
+
+void soak::fault(unsigned which)
+{
+    const auto length = absl::Milliseconds(200 + pick(2800));
+    const auto entry = any("entry");
+    const auto control = any("control");
+    const auto either = any("");
+    switch (which) {
+    case 0:
+        note("kill " + entry);
+        fleet_.kill(entry);
+        break;
+    case 1:
+        note("pause " + either);
+        fleet_.pause(either, length);
+        break;
+    case 2:
+        note("stop " + either);
+        fleet_.stop(either);
+        break;
+    case 3:
+        note("reload " + either);
+        fleet_.reload(either);
+        break;
+    case 4:
+        note("kill " + control);
+        fleet_.kill(control);
+        break;
+    case 5:
+        note("kill all control");
+        for (const auto& name : fleet_.names("control")) {
+            fleet_.kill(name);
+        }
+        break;
+    case 6:
+        // One disk at a time may be lost.
+        if (harmed_.is_calm("control", absl::Now() - absl::Seconds(4), absl::Now())) {
+            note("wipe " + control);
+            fleet_.wipe(control);
+        }
+        break;
+    case 7:
+        note("refuse writes of " + control);
+        fleet_.refuse_writes(control, length);
+        break;
+    case 8:
+        note("silence what is sent to " + either);
+        fleet_.harm_path(either, {absl::ZeroDuration(), true, false, false}, length);
+        break;
+    case 9:
+        note("delay what is sent to " + either);
+        fleet_.harm_path(either, {absl::Milliseconds(100), false, false, false}, length);
+        break;
+    case 10:
+        note("refuse connections to " + either);
+        fleet_.harm_path(either, {absl::ZeroDuration(), false, false, true}, length);
+        fleet_.reset_path(either);
+        break;
+    case 11:
+        note("reset connections to " + either);
+        fleet_.reset_path(either);
+        break;
+    default:
+        server_fault_now(which);
+    }
+}
+
+void soak::server_fault_now(unsigned which)
+{
+    auto& it = any_server();
+    const auto length = absl::Milliseconds(500 + pick(3000));
+    const auto path = it.proxy();
+    const auto heal_path = [this, path] { loop_.set(path, {}); };
+    if (which == 12) {
+        note("departure of " + it.id());
+        it.leave();
+    } else if (which == 13) {
+        note("crash of " + it.id());
+        it.crash();
+    } else if (which == 14) {
+        note("one-way silence of " + it.id());
+        loop_.set(path, {absl::ZeroDuration(), pick(2) == 0, true, false});
+        lifts_.emplace_back(absl::Now() + length, heal_path);
+    } else if (which == 15) {
+        note("reset connections of " + it.id());
+        loop_.reset(path);
+    } else {
+        const auto kind = static_cast<server_fault>(1 + pick(6));
+        note(absl::StrCat("fault ", static_cast<int>(kind), " of ", it.id()));
+        it.set_fault(kind);
+        lifts_.emplace_back(absl::Now() + length, [this, id = it.id()] {
+            for (const auto& each : servers_) {
+                if (each->id() == id) {
+                    each->set_fault(server_fault::none);
+                }
+            }
+        });
+    }
+}
+
+void soak::wait(absl::Duration length)
+{
+    const absl::Time end = absl::Now() + length;
+    do {
+        fleet_.tend(stop_problems_);
+        replace_gone_servers();
+        for (auto it = lifts_.begin(); it != lifts_.end();) {
+            if (it->first <= absl::Now()) {
+                it->second();
+                it = lifts_.erase(it);
+            } else {
+                ++it;
+            }
+        }
+        absl::SleepFor(step);
+    } while (absl::Now() < end);
+}
+
+bool soak::begin()
+{
+    for (unsigned n = 0; n < first_servers; ++n) {
+        add_server();
+    }
+    const absl::Time end = absl::Now() + start_timeout;
+    const auto is_up = [&] { return ask(fleet_.directories()).size() >= 3; };
+    while (!put_configuration(number_) || !is_up()) {
+        if (absl::Now() > end) {
+            return false;
+        }
+        wait(absl::Milliseconds(100));
+    }
+    wait(absl::Seconds(1));
+    for (unsigned n = 0; n < callers; ++n) {
+        threads_.emplace_back([this, n] { be_caller(n); });
+    }
+    threads_.emplace_back([this] { operate(); });
+    return true;
+}
+
+/// Faults come alone and in series, and overlap.
+void soak::play_faults()
+{
+    constexpr unsigned kinds = 20; // From 16 on: gray backend servers.
+    started_ = absl::Now();
+    const absl::Time end = started_ + options_.length;
+    while (absl::Now() < end) {
+        const auto series = 1 + pick(3);
+        for (std::uint64_t i = 0; i < series; ++i) {
+            fault(static_cast<unsigned>(pick(kinds)));
+            wait(absl::Milliseconds(pick(300)));
+        }
+        wait(absl::Milliseconds(pick(1200)));
+    }
+}
+
+void soak::recover(soak_result& out)
+{
+    fleet_.heal();
+    for (auto& it : lifts_) {
+        it.first = absl::Now();
+    }
+    wait(recovery);
+    const absl::Time begin = absl::Now();
+    wait(judged_at_end);
+    out.served_at_end = book_.served_since(begin);
+    constexpr double least_served = 0.9;
+    if (out.served_at_end < least_served) {
+        book_.add_problem(absl::StrCat(
+            "only ", out.served_at_end, " of the requests served after the recovery"));
+    }
+    check_last_configuration();
+}
+
+void soak::check_last_configuration()
+{
+    const auto expected = book_.newest_acknowledged();
+    std::uint64_t newest = 0;
+    for (const auto& at : fleet_.control_api()) {
+        newest = std::max(newest, read_configuration(at));
+    }
+    if (newest < expected) {
+        book_.add_problem(absl::StrCat(
+            "configuration ", expected, " was acknowledged, but ", newest, " is left"));
+    }
+}
+
+soak_result soak::run()
+{
+    soak_result out;
+    out.folder = fleet_.folder();
+    if (!begin()) {
+        out.problems.push_back("the fleet does not start");
+        return out;
+    }
+    play_faults();
+    recover(out);
+    stopping_ = true;
+    for (auto& it : threads_) {
+        it.join();
+    }
+    threads_.clear();
+    servers_.clear(); // What they still run is recorded by now.
+    out.requests = book_.requests();
+    out.served = book_.served_since(absl::InfinitePast());
+    out.problems = book_.problems(harmed_);
+    out.problems.insert(out.problems.end(), stop_problems_.begin(), stop_problems_.end());
+    out.faults = faults_;
+    return out;
+}
+
+} // namespace
+
+soak_result run_soak(const soak_options& it)
+{
+    return soak(it).run();
+}
+
+} // namespace cuminpitch::testing
--- /dev/null
+++ b/tests/soak/stand_ins.cpp
@@ -0,0 +1,254 @@
+#include "soak/stand_ins.hpp"
+
+#include <absl/strings/str_cat.h>
+#include <absl/synchronization/notification.h>
+#include <absl/time/clock.h>
+#include <nlohmann/json.hpp>
+
+namespace cuminpitch::testing {
+namespace {
+
+using nlohmann::json;
+
+constexpr int slots = 4;
+constexpr int queue = 8;
+constexpr absl::Duration beat = absl::Milliseconds(400);
+/// A leaving server goes on serving for this long after the acknowledgement.
+constexpr absl::Duration stay = absl::Seconds(4);
+constexpr std::uint64_t least_work_ms = 10;
+constexpr std::uint64_t work_spread_ms = 40;
+constexpr std::uint64_t failing_percent = 60;
+
+/// For the body of a lookup of the leader.
+constexpr int redirect = 307;
+
+http::response not_run(int status)
+{
+    http::response it;
+    it.status = status;
+    it.headers.set("X-Not-Executed", "1");
+    return it;
+}
+
+} // namespace
+
+http::client_result
+call(http::client& client, http::client_request it, absl::Duration timeout)
+{
+    it.timeout = timeout;
+    http::client_result out;
+    absl::Notification done;
+    client.start(std::move(it), [&](http::client_result result) {
+        out = std::move(result);
+        done.Notify();
+    });
+    done.WaitForNotification();
+    if (out.failure != http::failure::none) {
+        out.response.status = 0;
+    }
+    return out;
+}
+
+std::string configuration(std::uint64_t number)
+{
+    const auto rule = [](const std::string& name, const char* kind) {
+        return json{
+            {"name", "r-" + name},
+            {"kind", kind},
+            {"target-latency-ms", 500},
+            {"priority", 1},
+            {"match", {{"path-prefix", "/" + name + "/"}}},
+            {"action", {{"service", "soak"}, {"timeout-ms", 1500}, {"max-attempts", 2}}}};
+    };
+    json rules = json::array(
+        {rule("read", "safe"), rule("order", "unsafe"), rule("upload", "upload")});
+    rules.push_back(rule(absl::StrCat("new-", number), "safe"));
+    const json service = {
+        {"name", "soak"},
+        {"health-path", "/health"},
+        {"max-connections", 200},
+        {"protocol", "h1"},
+        {"tls", false}};
+    const json limits = {
+        {"max-header-bytes", 16384},
+        {"max-body-bytes", 1 << 20},
+        {"header-timeout-ms", 3000},
+        {"idle-timeout-ms", 15000}};
+    const json listener = {{"host", "soak.example"}, {"rule-set", rules}};
+    const json out = {
+        {"version", absl::StrCat("r", number)},
+        {"limits", limits},
+        {"listeners", json::array({listener})},
+        {"clusters", json::array({service})}};
+    return out.dump();
+}
+
+soak_server::soak_server(
+    place where,
+    proxy_loop& loop,
+    http::client& client,
+    ledger& book,
+    std::vector<core::endpoint> control,
+    std::uint64_t seed)
+    : where_(std::move(where)), loop_(loop), client_(client), book_(book),
+      control_(std::move(control)), random_(seed)
+{
+    http::server_options options;
+    options.listen = {"127.0.0.1", 0};
+    auto made = http::server::create(
+        options,
+        [this](const http::request& it, const std::shared_ptr<http::exchange>& to) {
+            serve(it, to);
+        });
+    server_ = std::move(made).value();
+    proxy_ = loop_.add({"127.0.0.1", 0}, server_->listening());
+    announcer_ = std::thread([this] { announce(); });
+}
+
+soak_server::~soak_server()
+{
+    crash();
+    announcer_.join();
+    // Answers that are due on the loop would outlive this object.
+    while (in_flight_ > 0) {
+        absl::SleepFor(absl::Milliseconds(1));
+    }
+}
+
+void soak_server::crash()
+{
+    crashed_ = true;
+    gone_ = true;
+    loop_.set(proxy_, {absl::ZeroDuration(), false, false, true});
+    loop_.reset(proxy_);
+}
+
+void soak_server::serve(
+    const http::request& it, const std::shared_ptr<http::exchange>& to)
+{
+    const std::string request = it.headers.get("X-Attempt-Id");
+    const bool is_refused =
+        crashed_ || fault_ == server_fault::sheds || in_flight_ >= slots + queue;
+    arrival_record arrival{request, where_.id, absl::Now(), false};
+    if (it.headers.get("X-Target-Instance") != where_.id) {
+        to->respond(not_run(421));
+    } else if (request.empty()) {
+        to->respond(not_run(400));
+    } else if (is_refused) {
+        book_.add(arrival);
+        to->respond(not_run(503));
+    } else {
+        arrival.has_run = true;
+        book_.add(arrival);
+        ++in_flight_;
+        absl::Duration work;
+        bool fails = false;
+        {
+            const absl::MutexLock lock(&mutex_);
+            work = absl::Milliseconds(least_work_ms + random_() % work_spread_ms);
+            fails = random_() % 100 < failing_percent;
+        }
+        loop_.after(work, [this, request, to, fails] {
+            finish(request, to, fails);
+            --in_flight_;
+        });
+    }
+}
+
+void soak_server::finish(
+    const std::string& request, const std::shared_ptr<http::exchange>& to, bool fails)
+{
+    http::response it;
+    it.headers.set("X-Attempt-Id", request);
+    it.headers.set("X-Upstream-Signature", where_.id);
+    it.body = body_for(request, where_.id);
+    switch (fails ? fault_.load() : server_fault::none) {
+    case server_fault::errors:
+        it.status = 500;
+        to->respond(std::move(it));
+        break;
+    case server_fault::resets:
+        to->break_off(std::nullopt, 0);
+        break;
+    case server_fault::hangs:
+        // The exchange ends when the entry gives up; the last reference goes here.
+        break;
+    case server_fault::cuts:
+        to->break_off(std::move(it), 100);
+        break;
+    case server_fault::surplus:
+        it.headers.set("X-Attempt-Id", "another-request");
+        to->respond(std::move(it));
+        break;
+    case server_fault::sheds:
+    case server_fault::none:
+        to->respond(std::move(it));
+        break;
+    }
+}
+
+std::string soak_server::check_in(bool is_leaving)
+{
+    const json it = {
+        {"service", where_.service},
+        {"address", loop_.listening(proxy_).str()},
+        {"zone", where_.failure_domain},
+        {"version", "v1"},
+        {"slots", slots},
+        {"state", is_leaving ? "draining" : "ready"},
+        {"warmup-ms", 0},
+        {"born", where_.started_ms},
+        {"seq", ++sequence_}};
+    return it.dump();
+}
+
+/// True once any control instance acknowledges; asks each of them once.
+bool soak_server::tell(const std::string& method, const std::string& body)
+{
+    constexpr int most_redirects = 2;
+    for (std::size_t i = 0; i < control_.size() && !crashed_; ++i) {
+        http::client_request it;
+        it.to = control_[(sequence_ + i) % control_.size()];
+        it.method = method;
+        it.target = "/-/upstreams/" + where_.id;
+        it.headers.set("Content-Type", "application/json");
+        it.body = body;
+        for (int hop = 0; hop <= most_redirects; ++hop) {
+            const auto result = call(client_, it, absl::Seconds(1));
+            if (result.response.status == 200) {
+                return true;
+            }
+            const std::string location = result.response.headers.get("Location");
+            if (result.response.status != redirect || location.size() < 8) {
+                break;
+            }
+            const auto to = location.substr(7, location.find('/', 7) - 7);
+            it.to = core::parse_endpoint(to).value_or(it.to);
+        }
+    }
+    return false;
+}
+
+void soak_server::announce()
+{
+    while (!leaving_ && !crashed_) {
+        tell("PUT", check_in(false));
+        absl::SleepFor(beat);
+    }
+    while (!crashed_ && !tell("PUT", check_in(true))) {
+        absl::SleepFor(beat);
+    }
+    if (!crashed_) {
+        book_.add_departure(where_.id, absl::Now());
+        const absl::Time end = absl::Now() + stay;
+        while (!crashed_ && absl::Now() < end) {
+            absl::SleepFor(absl::Milliseconds(20));
+        }
+        if (!crashed_) {
+            tell("DELETE", json{{"born", where_.started_ms}}.dump());
+        }
+    }
+    gone_ = true;
+}
+
+} // namespace cuminpitch::testing
--- /dev/null
+++ b/tests/soak/stand_ins.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "cuminpitch/core/random.hpp"
+#include "cuminpitch/http/client.hpp"
+#include "cuminpitch/http/server.hpp"
+#include "soak/ledger.hpp"
+#include "soak/loopback_proxy.hpp"
+
+#include <absl/synchronization/mutex.h>
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace cuminpitch::testing {
+
+/// How a backend server fails.
+enum class server_fault
+{
+    none,
+    errors,  ///< 500 for a part of the requests, after the work.
+    resets,  ///< Closes the connection in place of the answer.
+    hangs,   ///< Never answers.
+    sheds,   ///< Refuses as not run.
+    cuts,    ///< Ends in the middle of the answer.
+    surplus, ///< Answers with the id of another request.
+};
+
+/// One backend server of the platform, which announces itself to control. Its address is
+/// that of a proxy. Reports what arrives to the ledger.
+class soak_server
+{
+public:
+    struct place
+    {
+        std::string id;
+        std::string service;
+        std::string failure_domain;
+        std::int64_t started_ms = 0; ///< Unix time, the incarnation.
+    };
+
+    soak_server(
+        place where,
+        proxy_loop& loop,
+        http::client& client,
+        ledger& book,
+        std::vector<core::endpoint> control,
+        std::uint64_t seed);
+    ~soak_server();
+
+    void set_fault(server_fault it) { fault_ = it; }
+    /// Announces that it leaves; it is gone a while after the acknowledgement.
+    void leave() { leaving_ = true; }
+    /// Ends at once, without a word.
+    void crash();
+    bool is_gone() const { return gone_; }
+    proxy_loop::proxy_id proxy() const { return proxy_; }
+    const std::string& id() const { return where_.id; }
+
+private:
+    void serve(const http::request& it, const std::shared_ptr<http::exchange>& to);
+    void finish(
+        const std::string& request,
+        const std::shared_ptr<http::exchange>& to,
+        bool fails);
+    void announce();
+    bool tell(const std::string& method, const std::string& body);
+    std::string check_in(bool is_leaving);
+
+    const place where_;
+    proxy_loop& loop_;
+    http::client& client_;
+    ledger& book_;
+    const std::vector<core::endpoint> control_;
+    std::unique_ptr<http::server> server_;
+    proxy_loop::proxy_id proxy_ = 0;
+    std::atomic<server_fault> fault_{server_fault::none};
+    std::atomic<bool> leaving_{false};
+    std::atomic<bool> gone_{false};
+    std::atomic<bool> crashed_{false};
+    std::atomic<int> in_flight_{0};
+    std::uint64_t sequence_ = 0;
+    absl::Mutex mutex_;
+    core::random_source random_ ABSL_GUARDED_BY(mutex_);
+    std::thread announcer_;
+};
+
+/// Waits for the result of one HTTP call; failures have status 0.
+http::client_result
+call(http::client& client, http::client_request it, absl::Duration timeout);
+
+/// The configuration of this number: /read/ (safe), /order/, /upload/ and a route that is
+/// new with it.
+std::string configuration(std::uint64_t number);
+
+} // namespace cuminpitch::testing
