--- a/include/cuminpitch/request/events.hpp
+++ b/include/cuminpitch/request/events.hpp
@@ -61,7 +61,6 @@
     std::vector<entry_view> entries;
     bool is_mine = false;    ///< This entry is assigned to the pool.
     core::revision revision; ///< Of the fleet state that the servers are from.
-    absl::Time as_of;        ///< When control last confirmed that state.
 };
 
 /// What this entry knows of itself.
@@ -71,6 +70,8 @@
     bool is_refusing = false; ///< Draining, and the time of its old addresses is over.
     /// A planned stop has begun: attempts are no longer given up for another server.
     bool is_draining = false;
+    /// When control last confirmed that the fleet state here is the newest.
+    absl::Time confirmed = absl::InfinitePast();
 };
 
 // Events.
--- a/src/consensus/replica_election.cpp
+++ b/src/consensus/replica_election.cpp
@@ -49,9 +49,12 @@
 
 void replica::impl::reset_election_deadline()
 {
-    const std::int64_t min = absl::ToInt64Microseconds(options_.election_timeout_min);
-    const std::int64_t max = absl::ToInt64Microseconds(options_.election_timeout_max);
-    std::uniform_int_distribution<std::int64_t> timeout_us(min, max);
+    const bool starts =
+        leader_contact_ == absl::InfinitePast() && leader_since_ == absl::InfinitePast();
+    const auto min = starts ? options_.start_timeout_min : options_.election_timeout_min;
+    const auto max = starts ? options_.start_timeout_max : options_.election_timeout_max;
+    std::uniform_int_distribution<std::int64_t> timeout_us(
+        absl::ToInt64Microseconds(min), absl::ToInt64Microseconds(max));
     election_deadline_ = now_ + absl::Microseconds(timeout_us(random_));
 }
 
--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -31,6 +31,9 @@
 /// heartbeats at least, so that one that is late deposes nobody.
 constexpr absl::Duration quick_election_min = absl::Milliseconds(400);
 constexpr absl::Duration quick_election_max = absl::Milliseconds(800);
+/// A round of votes takes a few milliseconds and a sync of a disk.
+constexpr absl::Duration quick_start_min = absl::Milliseconds(100);
+constexpr absl::Duration quick_start_max = absl::Milliseconds(250);
 
 /// Events that wait for the storage; further frames are dropped, as the network may.
 constexpr std::size_t inbox_limit = 100'000;
@@ -159,6 +162,8 @@
         options.hello_interval = hello_interval;
         options.replica.election_timeout_min = quick_election_min;
         options.replica.election_timeout_max = quick_election_max;
+        options.replica.start_timeout_min = quick_start_min;
+        options.replica.start_timeout_max = quick_start_max;
     }
     const core::random_source seed(random_());
     node_ = control::node::make(
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -4,6 +4,7 @@
 #include "cuminpitch/wire/control_codec.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace cuminpitch::entry {
 namespace {
@@ -55,8 +56,7 @@
     next_request_ =
         now + (hurries ? options_.start_sync_interval : options_.sync_interval);
     if (unanswered_since_ + timeout <= now) {
-        ++target_;
-        unanswered_since_ = absl::InfiniteFuture();
+        lose_target(now, out);
     }
     unanswered_since_ = std::min(unanswered_since_, now);
     out.push_back(send_to(control_[target_ % control_.size()], make_request(now)));
@@ -68,6 +68,19 @@
     return out;
 }
 
+void control_link::lose_target(absl::Time now, std::vector<node_action>& out)
+{
+    out.push_back(action::write_log{
+        telemetry::severity::warning,
+        "control instance lost",
+        {{"control", control_[target_ % control_.size()].str()},
+         {"silent_ms", absl::ToInt64Milliseconds(now - unanswered_since_)},
+         {"revision", static_cast<std::int64_t>(replica_.revision().value())}}});
+    ++target_;
+    is_lost_ = true;
+    unanswered_since_ = absl::InfiniteFuture();
+}
+
 /// The answers also show that this entry is not isolated. Successive calls ask different
 /// peers, so that one that is down does not hide the others.
 void control_link::ask_peers(std::vector<node_action>& out)
@@ -110,7 +123,7 @@
 
 void control_link::on(
     absl::Time now,
-    const net::peer&,
+    const net::peer& from,
     const control::sync_response& it,
     std::vector<node_action>& out)
 {
@@ -121,6 +134,14 @@
         named_ = it.named;
     }
     if (it.age <= options_.stale_state_limit) {
+        if (std::exchange(is_lost_, false)) {
+            out.push_back(action::write_log{
+                telemetry::severity::info,
+                "control instance found",
+                {{"control", from.internal.str()},
+                 {"age_ms", absl::ToInt64Milliseconds(it.age)},
+                 {"away_ms", absl::ToInt64Milliseconds(now - last_answer_)}}});
+        }
         last_answer_ = now;
         unanswered_since_ = absl::InfiniteFuture();
     }
--- a/src/entry/control_link_priv.hpp
+++ b/src/entry/control_link_priv.hpp
@@ -53,6 +53,8 @@
 
 private:
     control::sync_request make_request(absl::Time now);
+    /// The control instance doesn't answer; the next one is asked.
+    void lose_target(absl::Time now, std::vector<node_action>& out);
     void ask_peers(std::vector<node_action>& out);
     void
     on(absl::Time now,
@@ -85,6 +87,7 @@
     control::view_replica replica_;
     bool draining_ = false;
     bool confirmed_ = false;
+    bool is_lost_ = false; ///< No control instance has answered since one was lost.
     std::size_t target_ = 0;
     std::size_t next_peer_ = 0;
     absl::Time started_ = absl::InfiniteFuture();
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -52,7 +52,10 @@
     condition_.is_refusing = now_ >= refuse_at_;
     condition_.in_flight = dispatcher_.in_flight();
     dispatcher_.set_entry(
-        {condition_.is_isolated, condition_.is_refusing, condition_.is_draining});
+        {condition_.is_isolated,
+         condition_.is_refusing,
+         condition_.is_draining,
+         link_.last_answer()});
     if (condition_.is_isolated != was_isolated) {
         log(telemetry::severity::warning,
             condition_.is_isolated ? "isolated" : "connected");
@@ -138,7 +141,7 @@
 void node::impl::send_shared(const core::pool_id& pool)
 {
     const auto& it = shared_pools_.at(pool);
-    run_all(dispatcher_.update_pool(now_, it.update(now_, link_.last_answer())));
+    run_all(dispatcher_.update_pool(now_, it.update(now_)));
 }
 
 void node::impl::tick_shared_pools()
--- a/src/entry/shared_pool.cpp
+++ b/src/entry/shared_pool.cpp
@@ -55,14 +55,13 @@
     return now - it.first_seen < it.record.announcement.cold_start;
 }
 
-request::pool_update shared_pool::update(absl::Time now, absl::Time confirmed) const
+request::pool_update shared_pool::update(absl::Time now) const
 {
     request::pool_update out;
     out.pool = id_;
     out.settings = settings_;
     out.is_mine = true;
     out.revision = revision_;
-    out.as_of = confirmed;
     absl::btree_map<core::server_id, std::uint32_t> elsewhere;
     for (const auto& [entry, told] : elsewhere_) {
         if (now - told.at <= occupancy_memory) {
--- a/src/entry/shared_pool_priv.hpp
+++ b/src/entry/shared_pool_priv.hpp
@@ -25,7 +25,7 @@
     bool set_view(absl::Time now, const control::fleet_view& view);
 
     /// What the request dispatcher has to know now.
-    request::pool_update update(absl::Time now, absl::Time confirmed) const;
+    request::pool_update update(absl::Time now) const;
 
     void observe(absl::Time now, const request::observation& it);
     /// What another entry saw of the servers and has at them.
--- a/src/request/dispatcher_answers.cpp
+++ b/src/request/dispatcher_answers.cpp
@@ -45,7 +45,7 @@
          {"elsewhere", static_cast<std::int64_t>(server.elsewhere)},
          {"pool_in_flight", static_cast<std::int64_t>(pool.in_flight())},
          {"servers", static_cast<std::int64_t>(pool.known().servers.size())},
-         {"known_for_ms", absl::ToInt64Milliseconds(now_ - pool.known().as_of)},
+         {"known_for_ms", absl::ToInt64Milliseconds(now_ - entry_.confirmed)},
          {"revision", static_cast<std::int64_t>(pool.known().revision.value())}});
 }
 
--- /dev/null
+++ b/tests/consensus/start_test.cpp
@@ -0,0 +1,60 @@
+#include "simulation.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace cuminpitch::consensus {
+namespace {
+
+constexpr absl::Duration settle = absl::Seconds(5);
+
+replica_options slow_elections()
+{
+    replica_options it;
+    it.election_timeout_min = absl::Milliseconds(400);
+    it.election_timeout_max = absl::Milliseconds(800);
+    it.start_timeout_min = absl::Milliseconds(100);
+    it.start_timeout_max = absl::Milliseconds(250);
+    return it;
+}
+
+class start_test : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+// Guards against a group that waits for a leader that can't be there: after a loss of
+// power everywhere, callers wait for this election.
+TEST_P(start_test, elects_soon_after_a_stop_of_all_members)
+{
+    constexpr absl::Duration bound = absl::Milliseconds(500);
+    simulation sim(GetParam(), 5, slow_elections());
+    ASSERT_TRUE(sim.commits(settle));
+    for (std::size_t i = 0; i < sim.size(); ++i) {
+        sim.crash(sim.at(i));
+    }
+    for (std::size_t i = 0; i < sim.size(); ++i) {
+        sim.start(sim.at(i));
+    }
+    EXPECT_TRUE(sim.run_until([&] { return sim.leader() != nullptr; }, bound));
+    EXPECT_TRUE(sim.commits(settle));
+    EXPECT_THAT(sim.breaches, testing::IsEmpty());
+}
+
+// Guards against a member whose short wait after its start deposes a healthy leader.
+TEST_P(start_test, restarted_member_keeps_the_leader)
+{
+    simulation sim(GetParam(), 5, slow_elections());
+    ASSERT_TRUE(sim.commits(settle));
+    const auto term = sim.leader()->replica->term();
+    auto& other = sim.at((sim.leader()->number + 1) % sim.size());
+    sim.crash(other);
+    sim.start(other);
+    ASSERT_TRUE(sim.commits(settle));
+    EXPECT_EQ(sim.leader()->replica->term(), term);
+    EXPECT_THAT(sim.breaches, testing::IsEmpty());
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, start_test, testing::Range<std::uint64_t>(1, 21));
+
+} // namespace
+} // namespace cuminpitch::consensus
--- a/tests/entry/directory_test.cpp
+++ b/tests/entry/directory_test.cpp
@@ -31,13 +31,13 @@
 protected:
     directory_test() : entry(make_options(), control::make_compile_function(), metrics) {}
 
-    void hear(std::vector<core::endpoint> named)
+    std::vector<node_action> hear(std::vector<core::endpoint> named)
     {
         control::sync_response it;
         it.update = control::delta{};
         it.named = std::move(named);
         const net::frame frame{net::channel::control, wire::encode(control::message(it))};
-        entry.handle(now, event::frame_received{control_peer, frame});
+        return entry.handle(now, event::frame_received{control_peer, frame});
     }
 
     /// The hash of the named entries in the next report to control.
@@ -91,5 +91,26 @@
     EXPECT_EQ(entry.named_entries(), std::vector{other_http});
 }
 
+// Guards against a lost dependency that only shows in its consequences.
+TEST_F(directory_test, logs_that_control_is_lost_and_found)
+{
+    const auto logged = [&](const std::vector<node_action>& from) {
+        std::vector<std::string> out;
+        for (const auto& it : from) {
+            if (const auto* line = std::get_if<action::write_log>(&it)) {
+                out.push_back(line->event);
+            }
+        }
+        return out;
+    };
+    entry.handle(now, event::tick{});
+    now += absl::Seconds(2);
+    EXPECT_EQ(
+        logged(entry.handle(now, event::tick{})),
+        std::vector<std::string>{"control instance lost"});
+    EXPECT_EQ(logged(hear({})), std::vector<std::string>{"control instance found"});
+    EXPECT_TRUE(logged(hear({})).empty());
+}
+
 } // namespace
 } // namespace cuminpitch::entry
--- a/tests/entry/shared_pool_test.cpp
+++ b/tests/entry/shared_pool_test.cpp
@@ -49,10 +49,7 @@
         it.what = request::observation::kind::failure;
         return it;
     }
-    std::vector<request::server_view> servers() const
-    {
-        return pool.update(now, now).servers;
-    }
+    std::vector<request::server_view> servers() const { return pool.update(now).servers; }
 
     control::fleet_view view;
     shared_pool pool{pool_p, core::failure_domain_id("a")};
@@ -99,7 +96,7 @@
     shared_pool other{pool_p, core::failure_domain_id("b")};
     other.set_view(now, view);
     other.receive(now, {"10.1.0.1", 1}, *evidence);
-    EXPECT_GE(other.update(now, now).servers[0].suspicion, 1);
+    EXPECT_GE(other.update(now).servers[0].suspicion, 1);
     EXPECT_FALSE(other.take_evidence().has_value()) << "passed on in a circle";
 }
 
--- /dev/null
+++ b/tests/soak/ledger_test.cpp
@@ -0,0 +1,100 @@
+#include "soak/ledger.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace cuminpitch::testing {
+namespace {
+
+using ::testing::ElementsAre;
+using ::testing::HasSubstr;
+using ::testing::IsEmpty;
+
+/// Each check must see its fault, or a soak that passes says nothing.
+class ledger_test : public ::testing::Test
+{
+protected:
+    void answered(request_kind kind, int status, std::string body = "", int runs = 0)
+    {
+        request_record it{"q", kind, "entry-1", now, now + absl::Milliseconds(50), {}};
+        it.result.verdict = core::verdict::ran;
+        it.result.response.status = status;
+        it.result.response.headers.set("X-Upstream-Signature", "s");
+        it.result.response.body = std::move(body);
+        book.add(std::move(it));
+        for (int i = 0; i < runs; ++i) {
+            book.add(arrival_record{"q", "s", now, true});
+        }
+    }
+    void expect_problem(const std::string& text) const
+    {
+        EXPECT_THAT(book.problems(harmed), ElementsAre(HasSubstr(text)));
+    }
+
+    ledger book;
+    disturbances harmed;
+    absl::Time now = absl::FromUnixSeconds(1000);
+};
+
+TEST_F(ledger_test, accepts_what_is_in_order)
+{
+    answered(request_kind::order, 200, body_for("q", "s"), 1);
+    answered(request_kind::safe, 503);
+    EXPECT_THAT(book.problems(harmed), IsEmpty());
+}
+
+TEST_F(ledger_test, sees_an_order_that_ran_twice)
+{
+    answered(request_kind::order, 502, "", 2);
+    expect_problem("ran twice");
+}
+
+TEST_F(ledger_test, sees_a_refusal_that_ran)
+{
+    answered(request_kind::upload, 503, "", 1);
+    expect_problem("refused as not run, but ran");
+}
+
+TEST_F(ledger_test, sees_the_answer_of_another_request)
+{
+    answered(request_kind::safe, 200, body_for("other", "s"), 1);
+    expect_problem("not the whole answer");
+}
+
+TEST_F(ledger_test, sees_a_denied_request)
+{
+    answered(request_kind::safe, 404);
+    expect_problem("denied");
+}
+
+TEST_F(ledger_test, sees_a_cut_connection_but_not_at_a_killed_entry)
+{
+    request_record it{"q", request_kind::safe, "entry-1", now, now, {}};
+    it.result.failure = http::failure::reset;
+    it.result.verdict = core::verdict::may_have_run;
+    book.add(it);
+    expect_problem("cut without a fault");
+    harmed.add("entry-1", now, now);
+    EXPECT_THAT(book.problems(harmed), IsEmpty());
+}
+
+TEST_F(ledger_test, sees_new_work_for_a_server_that_has_left)
+{
+    book.add_departure("s", now);
+    book.add(arrival_record{"q", "s", now + absl::Milliseconds(1900), true});
+    EXPECT_THAT(book.problems(harmed), IsEmpty());
+    book.add(arrival_record{"r", "s", now + absl::Milliseconds(2100), true});
+    expect_problem("has left");
+}
+
+TEST_F(ledger_test, sees_an_old_configuration)
+{
+    book.add_acknowledged(4, now);
+    book.add_read(3, now + absl::Seconds(1));
+    EXPECT_THAT(book.problems(harmed), IsEmpty());
+    book.add_read(3, now + absl::Milliseconds(2100));
+    expect_problem("old configuration");
+}
+
+} // namespace
+} // namespace cuminpitch::testing
