--- a/include/cuminpitch/control/sync.hpp
+++ b/include/cuminpitch/control/sync.hpp
@@ -61,8 +61,8 @@
     /// Since the sender had contact with a leader that had contact with a majority; an
     /// entry looks for a sender with a newer state if it is long.
     absl::Duration age;
-    /// Internal endpoints of the control instances, sorted; empty if the entry knows
-    /// them.
+    /// Internal endpoints of the control instances in the order in which the entry should
+    /// ask them; empty if the entry knows them.
     std::vector<core::endpoint> control;
     /// HTTP endpoints of the entries that callers in the entry's failure domain should
     /// use; empty if the entry knows them, or none is ready.
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -1,5 +1,6 @@
 #include "control/node_impl_priv.hpp"
 
+#include "cuminpitch/core/hash.hpp"
 #include "cuminpitch/wire/consensus_codec.hpp"
 #include "cuminpitch/wire/control_codec.hpp"
 #include "cuminpitch/wire/group_codec.hpp"
@@ -277,6 +278,29 @@
     return result;
 }
 
+/// The members in the order in which the entry should ask them: those of its failure
+/// domain first, as bytes between domains are dear, in turns that differ from entry to
+/// entry.
+std::vector<core::endpoint> node::impl::members_for(const entry_record& entry) const
+{
+    auto result = member_endpoints();
+    if (!result.empty()) {
+        const auto first = core::hash64(entry.id.str()) % result.size();
+        std::rotate(
+            result.begin(),
+            result.begin() + static_cast<std::ptrdiff_t>(first),
+            result.end());
+    }
+    const auto is_near = [&](const core::endpoint& it) {
+        const auto* known = directory_.at(it);
+        return it == options_.internal
+                   ? options_.failure_domain == entry.failure_domain
+                   : known != nullptr && known->failure_domain == entry.failure_domain;
+    };
+    std::stable_partition(result.begin(), result.end(), is_near);
+    return result;
+}
+
 /// All instances to greet: those of the settings, the members, and with `admits_members`
 /// those that others named recently.
 std::vector<core::endpoint> node::impl::known_instances() const
@@ -321,7 +345,7 @@
         it.named.clear();
     }
     if (options_.admits_members) {
-        it.control = member_endpoints();
+        it.control = members_for(to.entry);
         if (endpoints_hash(it.control) == to.control_hash) {
             it.control.clear();
         }
--- a/src/control/node_impl_priv.hpp
+++ b/src/control/node_impl_priv.hpp
@@ -80,6 +80,7 @@
     void remove_silent_voter();
     std::vector<core::endpoint> known_instances() const;
     std::vector<core::endpoint> member_endpoints() const;
+    std::vector<core::endpoint> members_for(const entry_record& entry) const;
     absl::Duration state_age() const;
     void complete(sync_response& it, const sync_request& to);
 
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -129,6 +129,7 @@
 {
     if (!it.control.empty()) {
         control_ = it.control;
+        target_ = 0;
     }
     if (!it.named.empty()) {
         named_ = it.named;
--- a/tests/control/group_test.cpp
+++ b/tests/control/group_test.cpp
@@ -1,5 +1,7 @@
 #include "group_world.hpp"
 
+#include "cuminpitch/wire/control_codec.hpp"
+
 namespace cuminpitch::control {
 namespace {
 
@@ -214,5 +216,47 @@
     EXPECT_EQ(it->http.port, 2);
 }
 
+// Guards against reports and changes that cross failure domains without need, and against
+// entries of one domain that all use the same control instance.
+TEST(group, entries_are_told_near_instances_first)
+{
+    group_world world(6, 3);
+    world.run_for(absl::Seconds(5));
+    std::set<core::endpoint> first;
+    for (int n = 0; n < 12; ++n) {
+        sync_request it;
+        it.entry = make_entry("e" + std::to_string(n), "d1");
+        it.entry.internal = {"10.9.0.1", static_cast<std::uint16_t>(7000 + n)};
+        const auto told = world.report(0, it, absl::Milliseconds(100));
+        ASSERT_TRUE(told.has_value());
+        ASSERT_EQ(told->control.size(), 6U);
+        const std::set<core::endpoint> near(
+            told->control.begin(), told->control.begin() + 2);
+        EXPECT_EQ(near, (std::set{world.at(1).internal, world.at(4).internal}));
+        first.insert(told->control.front());
+    }
+    EXPECT_EQ(first.size(), 2U);
+}
+
+// Guards against callers of an entry that hear nothing of other entries.
+TEST(group, entries_are_told_whom_to_name)
+{
+    group_world world(3, 3);
+    world.run_for(absl::Seconds(5));
+    sync_request it;
+    it.entry = make_entry("e1", "d1");
+    const presence here{it.entry, 1, true, false};
+    world.at(0).running->handle(
+        world.now(),
+        event::frame_received{
+            {it.entry.id, it.entry.internal},
+            net::frame{net::channel::control, wire::encode(control::message(here))}});
+    const auto told = world.report(0, it, absl::Milliseconds(100));
+    ASSERT_TRUE(told.has_value());
+    EXPECT_EQ(told->named, std::vector{it.entry.http});
+    it.named_hash = endpoints_hash(told->named);
+    EXPECT_TRUE(world.report(0, it, absl::Milliseconds(100))->named.empty());
+}
+
 } // namespace
 } // namespace cuminpitch::control
--- a/tests/control/group_world.cpp
+++ b/tests/control/group_world.cpp
@@ -1,5 +1,7 @@
 #include "group_world.hpp"
 
+#include "cuminpitch/wire/control_codec.hpp"
+
 #include "cuminpitch/control/founding.hpp"
 
 #include <algorithm>
@@ -43,7 +45,7 @@
     it.identity = instances_[i]->identity;
     it.internal = endpoint_of(i, 1);
     it.http = endpoint_of(i, 2);
-    it.failure_domain = core::failure_domain_id("d");
+    it.failure_domain = core::failure_domain_id("d" + std::to_string(i % domains));
     it.admits_members = true;
     it.peers = seeds_;
     std::erase(it.peers, it.internal);
@@ -102,6 +104,36 @@
     return std::nullopt;
 }
 
+void group_world::keep_for_entry(std::size_t i, const action::send_frame& it)
+{
+    const auto decoded = wire::decode_control_message(it.message.payload);
+    if (decoded) {
+        if (const auto* told = std::get_if<sync_response>(&decoded.value())) {
+            // A change that is pushed right after has neither list.
+            auto& known = at(i).told[it.to];
+            auto control = std::move(known.control);
+            auto named = std::move(known.named);
+            known = *told;
+            known.control = known.control.empty() ? std::move(control) : known.control;
+            known.named = known.named.empty() ? std::move(named) : known.named;
+        }
+    }
+}
+
+std::optional<sync_response>
+group_world::report(std::size_t i, const sync_request& it, absl::Duration time)
+{
+    at(i).told.erase(it.entry.internal);
+    at(i).running->handle(
+        now_,
+        event::frame_received{
+            {it.entry.id, it.entry.internal},
+            net::frame{net::channel::control, wire::encode(control::message(it))}});
+    run_for(time);
+    const auto found = at(i).told.find(it.entry.internal);
+    return found == at(i).told.end() ? std::nullopt : std::optional(found->second);
+}
+
 void group_world::step(std::size_t i)
 {
     auto& it = at(i);
@@ -111,6 +143,9 @@
             it.answers[answered->id] = std::move(answered->answer);
         } else if (auto* sent = std::get_if<action::send_frame>(&action)) {
             const auto to = find(sent->to);
+            if (!to) {
+                keep_for_entry(i, *sent);
+            }
             if (to && !cuts_.contains({i, *to})) {
                 network_.push_back({now_ + delay, i, *to, std::move(sent->message)});
             }
--- a/tests/control/group_world.hpp
+++ b/tests/control/group_world.hpp
@@ -22,6 +22,9 @@
 class group_world
 {
 public:
+    /// Instances belong to d0, d1 and d2 in turn.
+    static constexpr std::size_t domains = 3;
+
     struct instance
     {
         core::endpoint internal;
@@ -29,6 +32,7 @@
         consensus::member_id identity;
         std::unique_ptr<node> running; ///< Null while it is down.
         std::map<core::request_id, api_answer> answers;
+        std::map<core::endpoint, sync_response> told; ///< The last one for each entry.
     };
 
     /// The first `founders` of the instances are the seeds and form the group.
@@ -42,6 +46,7 @@
     std::size_t add();
     void cut(std::size_t a, std::size_t b);
     void heal() { cuts_.clear(); }
+    absl::Time now() const { return now_; }
 
     instance& at(std::size_t i) { return *instances_[i]; }
     std::size_t size() const { return instances_.size(); }
@@ -49,6 +54,10 @@
     std::optional<std::size_t> leader();
     std::size_t voters(std::size_t i);
 
+    /// Sends an entry's report and returns what the entry is told within the time.
+    std::optional<sync_response>
+    report(std::size_t i, const sync_request& it, absl::Duration time);
+
     template <class Call>
     core::request_id send(std::size_t i, Call call)
     {
@@ -103,6 +112,7 @@
 
     node_options options(std::size_t i) const;
     void step(std::size_t i);
+    void keep_for_entry(std::size_t i, const action::send_frame& it);
     std::optional<std::size_t> find(const core::endpoint& internal) const;
 
     absl::Time now_ = absl::FromUnixSeconds(1000);
--- a/tests/entry/directory_test.cpp
+++ b/tests/entry/directory_test.cpp
@@ -112,5 +112,23 @@
     EXPECT_TRUE(logged(hear({})).empty());
 }
 
+// Guards against an entry that goes on with a far control instance, as bytes between
+// failure domains are dear.
+TEST_F(directory_test, asks_the_first_control_instance_of_a_new_list)
+{
+    const core::endpoint near{"10.0.0.7", 7000};
+    control::sync_response it;
+    it.update = control::delta{};
+    it.control = {near, control_at};
+    const net::frame frame{net::channel::control, wire::encode(control::message(it))};
+    entry.handle(now, event::frame_received{control_peer, frame});
+    now += absl::Seconds(1);
+    const auto actions = entry.handle(now, event::tick{});
+    ASSERT_FALSE(actions.empty());
+    const auto* sent = std::get_if<action::send_frame>(&actions.front());
+    ASSERT_NE(sent, nullptr);
+    EXPECT_EQ(sent->to, near);
+}
+
 } // namespace
 } // namespace cuminpitch::entry
