--- a/src/entry/node_impl_priv.hpp
+++ b/src/entry/node_impl_priv.hpp
@@ -148,6 +148,7 @@
     void send_presence();
     void share_evidence();
     void share_occupancy();
+    std::vector<core::endpoint> near_active_peers() const;
     void announce_activity();
     void receive_evidence(const net::peer& from, const control::pool_evidence& it);
     void update_condition();
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -12,8 +12,6 @@
 constexpr std::uint64_t active_requests = 15;
 /// An entry that doesn't say so for this long is no longer active.
 constexpr absl::Duration activity_memory = absl::Seconds(5);
-/// A request takes about 300 ms at a server, so what is told this often is mostly true.
-constexpr absl::Duration occupancy_interval = absl::Milliseconds(100);
 /// The same is told again, as it is forgotten after a second.
 constexpr absl::Duration occupancy_repeat = absl::Milliseconds(500);
 /// Time between two announcements that this entry carries requests.
@@ -194,6 +192,20 @@
     }
 }
 
+/// Entries of this failure domain that carry requests.
+std::vector<core::endpoint> node::impl::near_active_peers() const
+{
+    std::vector<core::endpoint> out;
+    for (const auto& [entry, record] : view_->entries) {
+        const auto active = active_peers_.find(record.internal);
+        if (record.failure_domain == options_.self.failure_domain &&
+            active != active_peers_.end() && now_ - active->second < activity_memory) {
+            out.push_back(record.internal);
+        }
+    }
+    return out;
+}
+
 /// Tells the other active entries of this failure domain what this one has at the
 /// servers, as they mostly use the same ones. Others are not told: bytes between domains
 /// are dear.
@@ -202,7 +214,8 @@
     if (now_ < next_occupancy_) {
         return;
     }
-    next_occupancy_ = now_ + occupancy_interval;
+    const auto peers = near_active_peers();
+    next_occupancy_ = now_ + occupancy_interval(peers.size());
     for (const auto& [id, pool] : shared_pools_) {
         control::pool_evidence it;
         it.pool = id;
@@ -215,13 +228,8 @@
             continue;
         }
         told = *it.in_flight;
-        for (const auto& [entry, record] : view_->entries) {
-            const auto active = active_peers_.find(record.internal);
-            if (record.failure_domain == options_.self.failure_domain &&
-                active != active_peers_.end() &&
-                now_ - active->second < activity_memory) {
-                out_.push_back(send_message(record.internal, it));
-            }
+        for (const auto& peer : peers) {
+            out_.push_back(send_message(peer, it));
         }
     }
     if (now_ >= next_occupancy_repeat_) {
--- a/src/entry/shared_pool.cpp
+++ b/src/entry/shared_pool.cpp
@@ -7,12 +7,24 @@
 
 /// Penalty of a server during its cold start, in which it takes about twice as long.
 constexpr double cold_penalty = 0.5;
-/// What another entry has at servers is forgotten if it isn't repeated for this long: ten
-/// times the interval at which it is told while it changes.
-constexpr absl::Duration occupancy_memory = absl::Seconds(1);
+/// A request takes about 300 ms at a server, so what is told this often is mostly true.
+constexpr absl::Duration shortest_occupancy_interval = absl::Milliseconds(100);
+/// Leaves a word that comes late before the last one is forgotten.
+constexpr absl::Duration longest_occupancy_interval = absl::Milliseconds(800);
+/// Words a second that an entry sends at most, until the longest interval: 40 sent and 40
+/// received take about 2.5 ms of processor time.
+constexpr double occupancy_words_per_s = 40;
 
 } // namespace
 
+absl::Duration occupancy_interval(std::size_t peers)
+{
+    return std::clamp(
+        absl::Seconds(static_cast<double>(peers) / occupancy_words_per_s),
+        shortest_occupancy_interval,
+        longest_occupancy_interval);
+}
+
 shared_pool::shared_pool(core::pool_id id, core::failure_domain_id own_domain)
     : id_(std::move(id)), own_domain_(std::move(own_domain))
 {
--- a/src/entry/shared_pool_priv.hpp
+++ b/src/entry/shared_pool_priv.hpp
@@ -14,6 +14,13 @@
 
 namespace cuminpitch::entry {
 
+/// What another entry has at servers is forgotten if it isn't repeated for this long.
+constexpr absl::Duration occupancy_memory = absl::Seconds(1);
+
+/// Time between two words on what this entry has at servers, to so many peers each. More
+/// peers are told less often, so that the processor time spent on it stays bounded.
+absl::Duration occupancy_interval(std::size_t peers);
+
 /// A pool that every entry serves: its servers as control lists them, and what requests
 /// have shown of them here and at other entries.
 class shared_pool
--- a/tests/entry/shared_pool_test.cpp
+++ b/tests/entry/shared_pool_test.cpp
@@ -142,5 +142,21 @@
     EXPECT_FALSE(pool.has_fading(now));
 }
 
+// Guards against entries that spend their processor time on telling each other what they
+// have at servers (a third of it with 14 peers), and against words that
+// are forgotten before the next one.
+TEST(occupancy, is_told_less_often_to_many_peers)
+{
+    EXPECT_EQ(occupancy_interval(0), absl::Milliseconds(100));
+    EXPECT_EQ(occupancy_interval(4), absl::Milliseconds(100));
+    for (std::size_t peers = 4; peers < 200; ++peers) {
+        const auto interval = occupancy_interval(peers);
+        EXPECT_LT(interval, occupancy_memory);
+        if (peers <= 30) {
+            EXPECT_LE(static_cast<double>(peers) / absl::ToDoubleSeconds(interval), 40.1);
+        }
+    }
+}
+
 } // namespace
 } // namespace cuminpitch::entry
