--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -67,7 +67,7 @@
     std::uint64_t pick(std::uint64_t below) { return random_() % below; }
     std::string any(const std::string& prefix);
     soak_server& any_server() { return *servers_[pick(servers_.size())]; }
-    void note(std::string it);
+    void note(const std::string& it);
 
     const soak_options options_;
     core::random_source random_;
@@ -87,7 +87,7 @@
     std::uint64_t number_ = 1;
 };
 
-void soak::note(std::string it)
+void soak::note(const std::string& it)
 {
     faults_.push_back(absl::StrCat(
         absl::FormatDuration(absl::Trunc(absl::Now() - started_, absl::Milliseconds(1))),
