--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -1,15 +1,20 @@
 #include "soak/soak_run.hpp"
 
-#include "cuminpitch/core/hash.hpp"
+#include "cuminpitch/core/random.hpp"
 #include "soak/soak_fleet.hpp"
 #include "soak/stand_ins.hpp"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <atomic>
 #include <deque>
 #include <functional>
+#include <memory>
+#include <thread>
 
 namespace cuminpitch::testing {
 namespace {
