--- a/src/entry/node_impl_priv.hpp
+++ b/src/entry/node_impl_priv.hpp
@@ -13,6 +13,7 @@
 #include "entry/status_priv.hpp"
 
 #include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
 
 #include <algorithm>
@@ -167,6 +168,8 @@
     absl::btree_map<core::pool_id, shared_pool> shared_pools_;
     /// Entries that carry requests too, with the time of their last word.
     absl::btree_map<core::endpoint, absl::Time> active_peers_;
+    /// Pools of which other entries have said something since the last tick.
+    absl::btree_set<core::pool_id> told_pools_;
     struct held_request
     {
         core::request_id id;
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -147,6 +147,12 @@
     if (shared_pools_.empty()) {
         return;
     }
+    // With many peers their words come far more often than a choice changes by them.
+    for (const auto& id : std::exchange(told_pools_, {})) {
+        if (shared_pools_.contains(id)) {
+            send_shared(id);
+        }
+    }
     share_evidence();
     share_occupancy();
     if (now_ >= next_activity_) {
@@ -243,7 +249,7 @@
     const auto pool = shared_pools_.find(it.pool);
     if (pool != shared_pools_.end() && (!it.failures.empty() || it.in_flight)) {
         pool->second.receive(now_, from.internal, it);
-        send_shared(it.pool);
+        told_pools_.insert(it.pool);
     }
 }
 
