--- a/src/request/dispatcher_answers.cpp
+++ b/src/request/dispatcher_answers.cpp
@@ -13,6 +13,12 @@
 constexpr int bad_gateway = 502;
 constexpr int unavailable = 503;
 
+/// 0 without a complete response.
+std::int64_t status_or_zero(const http::client_result& it)
+{
+    return it.failure == http::failure::none ? it.response.status : 0;
+}
+
 } // namespace
 
 void dispatcher::impl::explain_decision(
@@ -63,7 +69,7 @@
         {{"server", it.server.str()},
          {"reason",
           std::string(outcome.failure ? to_string(*outcome.failure) : "failure-status")},
-         {"status", std::int64_t{result.response.status}},
+         {"status", status_or_zero(result)},
          {"verdict", std::string(core::to_string(outcome.verdict))},
          {"elapsed_ms", absl::ToInt64Milliseconds(result.elapsed)},
          {"new_connection", !result.reused_connection}});
--- a/tests/request/dialect_test.cpp
+++ b/tests/request/dialect_test.cpp
@@ -277,6 +277,22 @@
             "refused"}));
 }
 
+// Guards against a log that shows a status where the server sent none: seen as "reason
+// reset, status 200" in the logs of an incident.
+TEST_F(dialect_test, log_of_a_broken_attempt_has_no_status)
+{
+    options.explains = true;
+    restart(options);
+    const auto sent = only<start_attempt>(send("/order"));
+    for (const auto& it : all<explain>(finish(sent.send.attempt, reset_after_send()))) {
+        for (const auto& [name, value] : it.inputs) {
+            if (it.what == "attempt failed" && name == "status") {
+                EXPECT_EQ(std::get<std::int64_t>(value), 0);
+            }
+        }
+    }
+}
+
 // Guards against a read that waits for a hanging server until its deadline.
 TEST_F(dialect_test, read_is_given_to_another_server_after_half_of_its_time)
 {
