--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -141,7 +141,8 @@
                 "control instance found",
                 {{"control", from.internal.str()},
                  {"age_ms", absl::ToInt64Milliseconds(it.age)},
-                 {"away_ms", absl::ToInt64Milliseconds(now - last_answer_)}}});
+                 {"away_ms",
+                  absl::ToInt64Milliseconds(now - std::max(last_answer_, started_))}}});
         }
         last_answer_ = now;
         unanswered_since_ = absl::InfiniteFuture();
--- a/tests/soak/stand_ins.cpp
+++ b/tests/soak/stand_ins.cpp
@@ -19,7 +19,7 @@
 constexpr std::uint64_t work_spread_ms = 40;
 constexpr std::uint64_t failing_percent = 60;
 
-/// For the body of a lookup of the leader.
+/// Control instances that don't lead name the one that does.
 constexpr int redirect = 307;
 
 http::response not_run(int status)
