--- a/include/cuminpitch/consensus/replica_options.hpp
+++ b/include/cuminpitch/consensus/replica_options.hpp
@@ -25,8 +25,8 @@
     /// The same until it has heard of a leader for the first time since its start. After
     /// a stop of all members no leader is left to wait for, and where there is one the
     /// pre-vote keeps it.
-    absl::Duration start_timeout_min = absl::Milliseconds(200);
-    absl::Duration start_timeout_max = absl::Milliseconds(500);
+    absl::Duration start_timeout_min = absl::Milliseconds(500);
+    absl::Duration start_timeout_max = absl::Milliseconds(1000);
     /// Bounds of one append message. One entry is sent even if it is larger.
     std::size_t max_append_bytes = std::size_t{256} * 1024;
     std::size_t max_append_entries = 256;
