--- a/include/cuminpitch/request/dispatcher.hpp
+++ b/include/cuminpitch/request/dispatcher.hpp
@@ -69,6 +69,8 @@
     /// Requests without `respond` or `refuse` yet.
     std::size_t in_flight() const;
     pool_load load(const core::pool_id& pool) const;
+    /// Whether a request of the pool could be sent to a server now or once one is free.
+    bool has_servers(const core::pool_id& pool) const;
     /// Servers of the pool with requests of this entry in flight, and how many.
     std::vector<std::pair<core::server_id, std::uint32_t>>
     occupied(const core::pool_id& pool) const;
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -138,6 +138,7 @@
     add(link_.on_peer_revision(from.internal, heartbeat.value().fleet_revision));
     if (const auto pool = pools_.find(heartbeat.value().pool); pool != pools_.end()) {
         pool->second->health().receive(now_, from.id, heartbeat.value());
+        update_unserved(pool->first);
     }
 }
 
--- a/src/entry/node_answers.cpp
+++ b/src/entry/node_answers.cpp
@@ -122,6 +122,9 @@
     const auto mine = pools_.find(it.pool);
     const bool accepted = mine != pools_.end() &&
                           mine->second->health().announce(now_, it.announcement, it.echo);
+    if (accepted) {
+        update_unserved(mine->first);
+    }
     respond(
         id,
         announce_answer(
--- a/src/entry/node_impl_priv.hpp
+++ b/src/entry/node_impl_priv.hpp
@@ -142,6 +142,7 @@
     bool is_mine(const core::pool_id& pool) const;
     void refresh();
     void tick_pools();
+    void update_unserved(const core::pool_id& pool);
     void tick_shared_pools();
     void update_shared_pool(const config::pool_settings& declared);
     void send_shared(const core::pool_id& pool);
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -43,6 +43,15 @@
     }
 }
 
+/// Requests of a pool without servers are refused, so its first server counts at once and
+/// not from the next tick on.
+void node::impl::update_unserved(const core::pool_id& pool)
+{
+    if (!dispatcher_.has_servers(pool)) {
+        run_all(dispatcher_.update_pool(now_, pools_.at(pool)->update(now_, *view_)));
+    }
+}
+
 void node::impl::update_condition()
 {
     const bool was_isolated = condition_.is_isolated;
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -98,6 +98,12 @@
     return std::move(out_);
 }
 
+bool dispatcher::impl::has_servers(const core::pool_id& id) const
+{
+    const auto found = pools_.find(id);
+    return found != pools_.end() && found->second->has_servers();
+}
+
 pool_load dispatcher::impl::load(const core::pool_id& id) const
 {
     const auto found = pools_.find(id);
@@ -398,6 +404,11 @@
     return impl_->occupied(pool);
 }
 
+bool dispatcher::has_servers(const core::pool_id& pool) const
+{
+    return impl_->has_servers(pool);
+}
+
 pool_load dispatcher::load(const core::pool_id& pool) const
 {
     return impl_->load(pool);
--- a/src/request/dispatcher_impl_priv.hpp
+++ b/src/request/dispatcher_impl_priv.hpp
@@ -37,6 +37,7 @@
     std::vector<action> handle(absl::Time now, event it);
     std::size_t in_flight() const { return live_.size(); }
     pool_load load(const core::pool_id& id) const;
+    bool has_servers(const core::pool_id& id) const;
     std::vector<std::pair<core::server_id, std::uint32_t>>
     occupied(const core::pool_id& id) const;
 
--- a/tests/entry/view_change_test.cpp
+++ b/tests/entry/view_change_test.cpp
@@ -4,7 +4,9 @@
 #include "cuminpitch/control/declared_settings.hpp"
 #include "cuminpitch/entry/node.hpp"
 #include "cuminpitch/wire/control_codec.hpp"
+#include "cuminpitch/wire/pool_codec.hpp"
 
+#include <absl/strings/str_format.h>
 #include <gtest/gtest.h>
 
 namespace cuminpitch::entry {
@@ -29,6 +31,7 @@
     {
         node_options options;
         options.self = entry_at("self", 100);
+        options.incarnation = incarnation;
         node_ =
             std::make_unique<node>(options, control::make_compile_function(), metrics_);
         auto contents = std::make_shared<control::fleet_contents>();
@@ -58,6 +61,47 @@
         push(control::delta{base, base.next(), {{base.next(), it}}});
     }
 
+    /// Refreshes what the entry derives from time, which it does at most every 40 ms.
+    void tick() { node_->handle(now_, event::tick{}); }
+    void pass(absl::Duration time) { now_ += time; }
+
+    void announce(const std::string& server, std::uint16_t port)
+    {
+        auto message = std::make_shared<http::request>();
+        message->method = "POST";
+        message->target = message->path = "/.cuminpitch/v1/announce";
+        message->body = absl::StrFormat(
+            R"({"team":"t","pool":"p","server":"%s","incarnation":1,"sequence":1,)"
+            R"("state":"active","address":"127.0.0.1:%d","slots":4,"echo":%d})",
+            server,
+            port,
+            absl::ToUnixMicros(now_));
+        node_->handle(now_, event::http_request{core::request_id(++id_), message});
+    }
+
+    /// What entry "a" heard from a server, by way of its heartbeat.
+    void relay(const std::string& server, std::uint16_t port)
+    {
+        health::pool_heartbeat it;
+        it.pool = pool;
+        it.incarnation = 1;
+        it.clock = now_;
+        it.echo = now_;
+        it.echo_incarnation = incarnation;
+        upstream::relayed_announcement heard;
+        heard.it.server = core::server_id(server);
+        heard.it.incarnation = 1;
+        heard.it.sequence = 1;
+        heard.it.address = {"127.0.0.1", port};
+        heard.it.slots = 4;
+        it.announcements.push_back(heard);
+        node_->handle(
+            now_,
+            event::frame_received{
+                {core::instance_id("a"), entry_at("a", 101).internal},
+                {net::channel::pool, wire::encode(it)}});
+    }
+
     /// Where a request goes; port 0 if nowhere.
     std::uint16_t port_of_request()
     {
@@ -75,6 +119,8 @@
     }
 
 private:
+    static constexpr std::uint64_t incarnation = 7;
+
     void receive(const control::message& it)
     {
         node_->handle(
@@ -112,6 +158,29 @@
     EXPECT_EQ(port_of_request(), 102);
 }
 
+// Guards against a request refused for lack of a server that has announced itself since the
+// last tick.
+TEST_F(view_change_test, first_server_counts_at_once)
+{
+    change(control::set_assignment{pool, {core::instance_id("self")}, {}, true});
+    tick();
+    EXPECT_EQ(port_of_request(), 0);
+    pass(absl::Milliseconds(10));
+    announce("s1", 201);
+    EXPECT_EQ(port_of_request(), 201);
+}
+
+TEST_F(view_change_test, first_server_counts_at_once_by_way_of_another_entry)
+{
+    change(control::set_assignment{
+        pool, {core::instance_id("a"), core::instance_id("self")}, {}, true});
+    tick();
+    EXPECT_EQ(port_of_request(), 0);
+    pass(absl::Milliseconds(10));
+    relay("s1", 201);
+    EXPECT_EQ(port_of_request(), 201);
+}
+
 TEST_F(view_change_test, refuses_requests_of_a_deleted_pool)
 {
     change(control::change{
