Tell failures by failure domain and at once; choose differently after a common start

Ruled out: connection limits of the servers (new connections, one in flight). Failures now go to entries of the server's domain and of the own one, whether active or not; the seed contains the id.

--- a/include/cuminpitch/entry/node.hpp
+++ b/include/cuminpitch/entry/node.hpp
@@ -61,6 +61,10 @@
     bool explains = false;
 };
 
+/// Seed of the choices of an entry. Entries that start at the same moment get different
+/// ones, as they would choose the same servers otherwise.
+std::uint64_t start_seed(const core::instance_id& id, std::uint64_t incarnation);
+
 /// One entry instance as a state machine: composes the fleet state, the health of its
 /// pools and the request path. Not thread-safe. `now` is a reading of this process's
 /// monotonic clock; it never goes back.
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -48,7 +48,7 @@
     it.incarnation = wall_clock_us();
     it.control = settings.control;
     it.peers = settings.peers;
-    it.seed = it.incarnation;
+    it.seed = entry::start_seed(settings.id, it.incarnation);
     it.isolation_timeout = settings.isolation_timeout;
     if (!settings.seeds.empty()) {
         it.control = settings.seeds;
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -1,5 +1,6 @@
 #include "entry/node_impl_priv.hpp"
 
+#include "cuminpitch/core/hash.hpp"
 #include "cuminpitch/wire/control_codec.hpp"
 #include "cuminpitch/wire/pool_codec.hpp"
 #include "entry/api_priv.hpp"
@@ -288,6 +289,11 @@
     out_.emplace_back(action::write_log{severity, std::move(event), std::move(fields)});
 }
 
+std::uint64_t start_seed(const core::instance_id& id, std::uint64_t incarnation)
+{
+    return core::hash64(id.str(), incarnation);
+}
+
 node::node(
     node_options options, control::compile_function compile, telemetry::metrics& metrics)
     : impl_(std::make_unique<impl>(std::move(options), std::move(compile), metrics))
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -7,8 +7,8 @@
 
 /// Penalties of servers halve in 1.5 s, so they change little in this time.
 constexpr absl::Duration penalty_interval = absl::Milliseconds(100);
-/// An entry that carried this many requests within activity_interval shares what it sees
-/// of servers; one that carries fewer sees little.
+/// An entry that carried this many requests within activity_interval is told what others
+/// have at servers; one that carries fewer hardly adds to it.
 constexpr std::uint64_t active_requests = 15;
 /// An entry that doesn't say so for this long is no longer active.
 constexpr absl::Duration activity_memory = absl::Seconds(5);
@@ -181,17 +181,21 @@
     }
 }
 
+/// Only entries of this failure domain tell each other what they have at servers.
 void node::impl::announce_activity()
 {
     control::pool_evidence nothing;
     nothing.pool = shared_pools_.begin()->first;
     for (const auto& [id, record] : view_->entries) {
-        if (id != options_.self.id) {
+        if (id != options_.self.id &&
+            record.failure_domain == options_.self.failure_domain) {
             out_.push_back(send_message(record.internal, nothing));
         }
     }
 }
 
+/// Tells failures to the entries that are likely to choose the same servers, at once and
+/// also to those that carry few requests: each of them would lose a request of its own.
 void node::impl::share_evidence()
 {
     for (auto& [id, pool] : shared_pools_) {
@@ -199,9 +203,18 @@
         if (!evidence) {
             continue;
         }
-        for (const auto& [peer, heard] : active_peers_) {
-            if (now_ - heard < activity_memory) {
-                out_.push_back(send_message(peer, *evidence));
+        absl::btree_map<core::failure_domain_id, control::pool_evidence> by_domain;
+        for (const auto& [entry, record] : view_->entries) {
+            if (entry == options_.self.id) {
+                continue;
+            }
+            const auto [it, is_new] = by_domain.try_emplace(record.failure_domain);
+            if (is_new) {
+                it->second.pool = id;
+                it->second.failures = pool.failures_for(it->first, *evidence);
+            }
+            if (!it->second.failures.empty()) {
+                out_.push_back(send_message(record.internal, it->second));
             }
         }
     }
--- a/src/entry/shared_pool.cpp
+++ b/src/entry/shared_pool.cpp
@@ -156,6 +156,23 @@
     return out;
 }
 
+std::vector<control::pool_evidence::server_count> shared_pool::failures_for(
+    const core::failure_domain_id& domain, const control::pool_evidence& all) const
+{
+    if (domain == own_domain_) {
+        return all.failures;
+    }
+    std::vector<control::pool_evidence::server_count> out;
+    for (const auto& it : all.failures) {
+        const auto known = servers_.find(it.server);
+        if (known != servers_.end() &&
+            known->second.record.announcement.failure_domain == domain) {
+            out.push_back(it);
+        }
+    }
+    return out;
+}
+
 bool shared_pool::has_fading(absl::Time now) const
 {
     return suspicion_.is_any(now) ||
--- /dev/null
+++ b/tests/entry/gray_servers_load_test.cpp
@@ -0,0 +1,236 @@
+// Plays the load of a large fleet that has just started: 40 entries in two failure
+// domains, started at the same moment, send requests that run at most once to 60 servers,
+// of which a fifth reset each request. Such a request is lost, so what counts is how
+// often a failing server is found out anew.
+
+#include "cuminpitch/control/declared_settings.hpp"
+#include "cuminpitch/entry/node.hpp"
+#include "cuminpitch/wire/control_codec.hpp"
+
+#include <absl/strings/str_cat.h>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace cuminpitch::entry {
+namespace {
+
+constexpr std::size_t entries = 40;
+constexpr std::uint32_t servers = 60;
+constexpr std::uint32_t failing_every = 5;
+constexpr absl::Duration network_delay = absl::Milliseconds(2);
+constexpr absl::Duration work = absl::Milliseconds(300);
+constexpr absl::Duration tick_interval = absl::Milliseconds(20);
+
+const core::pool_id pool{core::team_id("t"), "p"};
+
+core::failure_domain_id domain_of(std::size_t index)
+{
+    return core::failure_domain_id(index % 2 == 0 ? "a" : "b");
+}
+
+bool is_failing(std::uint16_t port)
+{
+    return port % failing_every == 0;
+}
+
+control::entry_record record_of(std::size_t index)
+{
+    const auto at = absl::StrCat("10.0.1.", index);
+    return {
+        core::instance_id(absl::StrCat("entry-", index)),
+        {at, 80},
+        {at, 7000},
+        domain_of(index)};
+}
+
+control::update make_contents()
+{
+    auto out = std::make_shared<control::fleet_contents>();
+    out->revision = core::revision(1);
+    out->settings = {
+        {"teams/t/pools/p/every_entry", "true"},
+        {"teams/t/routes/r/host", "\"h\""},
+        {"teams/t/routes/r/path_prefix", "\"/\""},
+        {"teams/t/routes/r/pool", "\"p\""},
+        {"teams/t/routes/r/idempotent", "false"}};
+    for (std::size_t n = 0; n < entries; ++n) {
+        out->entries[record_of(n).id] = {record_of(n), 1};
+    }
+    for (std::uint32_t n = 0; n < servers; ++n) {
+        control::server_record it;
+        it.pool = pool;
+        it.announcement.server = core::server_id(absl::StrCat("server-", n));
+        // Both domains have failing servers.
+        it.announcement.address = {"10.0.2.1", static_cast<std::uint16_t>(1000 + n / 2)};
+        it.announcement.failure_domain = domain_of(n);
+        it.announcement.slots = 6;
+        if (n % 2 == 1) {
+            it.announcement.address.host = "10.0.2.2";
+        }
+        out->servers[it.announcement.server] = it;
+    }
+    return std::shared_ptr<const control::fleet_contents>(out);
+}
+
+class gray_servers_load_test : public testing::Test
+{
+protected:
+    gray_servers_load_test()
+    {
+        constexpr std::uint64_t started_us = 1'700'000'000'000'000;
+        for (std::size_t n = 0; n < entries; ++n) {
+            node_options options;
+            options.self = record_of(n);
+            options.incarnation = started_us;
+            options.seed = start_seed(options.self.id, started_us);
+            auto& it = fleet_.emplace_back(std::make_unique<node>(
+                options, control::make_compile_function(), metrics_));
+            const control::message state =
+                control::sync_response{make_contents(), core::revision(1), {}, true};
+            it->handle(
+                now_,
+                event::frame_received{
+                    {core::instance_id("control"), {"10.0.3.1", 7000}},
+                    {net::channel::control, wire::encode(state)}});
+            it->handle(now_, event::tick{});
+        }
+    }
+
+    /// One request at each entry in turn, evenly spread over the time.
+    void play(std::size_t requests, absl::Duration time)
+    {
+        const auto start = now_;
+        for (std::size_t n = 0; n < requests; ++n) {
+            advance(start + time * n / requests);
+            send(n % entries);
+        }
+        advance(start + time);
+    }
+
+    void send(std::size_t entry)
+    {
+        auto message = std::make_shared<http::request>();
+        message->method = "POST";
+        message->target = message->path = "/x";
+        message->headers.add("Host", "h");
+        handle(entry, event::http_request{core::request_id(++last_request_), message});
+    }
+
+    std::map<core::endpoint, std::uint32_t> failed_;
+    std::map<core::endpoint, std::uint32_t> chosen_;
+
+private:
+    struct arrival
+    {
+        std::size_t entry = 0;
+        node_event what;
+    };
+
+    void advance(absl::Time until)
+    {
+        while (std::min(next_tick_, next_arrival()) <= until) {
+            if (next_tick_ <= next_arrival()) {
+                now_ = next_tick_;
+                next_tick_ += tick_interval;
+                for (std::size_t n = 0; n < entries; ++n) {
+                    handle(n, event::tick{});
+                }
+            } else {
+                auto first = arrivals_.extract(arrivals_.begin());
+                now_ = first.key();
+                handle(first.mapped().entry, std::move(first.mapped().what));
+            }
+        }
+        now_ = until;
+    }
+
+    absl::Time next_arrival() const
+    {
+        return arrivals_.empty() ? absl::InfiniteFuture() : arrivals_.begin()->first;
+    }
+
+    void handle(std::size_t entry, node_event what)
+    {
+        for (auto& it : fleet_[entry]->handle(now_, std::move(what))) {
+            if (auto* call = std::get_if<action::start_call>(&it)) {
+                run(entry, *call);
+            } else if (auto* sent = std::get_if<action::send_frame>(&it)) {
+                deliver(entry, *sent);
+            }
+        }
+    }
+
+    void run(std::size_t entry, const action::start_call& call)
+    {
+        const auto& to = call.request.to;
+        ++chosen_[to];
+        http::client_result result;
+        if (is_failing(to.port)) {
+            ++failed_[to];
+            result.verdict = core::verdict::may_have_run;
+            result.failure = http::failure::reset;
+            result.elapsed = 2 * network_delay;
+        } else {
+            result.verdict = core::verdict::ran;
+            result.response.status = 200;
+            result.elapsed = work;
+        }
+        const auto at = now_ + result.elapsed;
+        arrivals_.emplace(
+            at, arrival{entry, event::call_finished{call.call, std::move(result)}});
+    }
+
+    void deliver(std::size_t from, action::send_frame& it)
+    {
+        for (std::size_t n = 0; n < entries; ++n) {
+            const auto to = record_of(n);
+            if (to.internal == it.to) {
+                const net::peer sender{record_of(from).id, record_of(from).internal};
+                arrivals_.emplace(
+                    now_ + network_delay,
+                    arrival{n, event::frame_received{sender, std::move(it.message)}});
+                return;
+            }
+        }
+    }
+
+    telemetry::metrics metrics_;
+    std::vector<std::unique_ptr<node>> fleet_;
+    std::multimap<absl::Time, arrival> arrivals_;
+    absl::Time now_ = absl::FromUnixSeconds(1000);
+    absl::Time next_tick_ = now_ + tick_interval;
+    std::uint64_t last_request_ = 0;
+};
+
+// Guards against entries that lose a request each to the same failing server, as long as
+// they haven't carried many requests yet.
+TEST_F(gray_servers_load_test, failing_server_is_found_out_once)
+{
+    play(400, absl::Seconds(1));
+    ASSERT_FALSE(failed_.empty());
+    for (const auto& [server, count] : failed_) {
+        // The second one may be on its way while the first is told, which takes up to a
+        // tick, two delays and the answer.
+        EXPECT_LE(count, 2U) << server.str();
+    }
+}
+
+// Guards against entries that started at the same moment, as after a loss of power, and
+// therefore choose the same servers one after another.
+TEST_F(gray_servers_load_test, entries_started_together_choose_differently)
+{
+    for (std::size_t n = 0; n < entries; ++n) {
+        send(n);
+    }
+    // 20 entries choose among 30 servers of their domain; that one is chosen by six or
+    // more of them at random has a probability of 1 in 1,000.
+    for (const auto& [server, count] : chosen_) {
+        EXPECT_LE(count, 5U) << server.str();
+    }
+}
+
+} // namespace
+} // namespace cuminpitch::entry
