Choose at random among servers whose loads differ by less than is known

So the margin grows with the age of the words, and suspicion, distance and cold starts still count in full.

--- a/include/cuminpitch/request/events.hpp
+++ b/include/cuminpitch/request/events.hpp
@@ -61,6 +61,10 @@
     std::vector<entry_view> entries;
     bool is_mine = false;    ///< This entry is assigned to the pool.
     core::revision revision; ///< Of the fleet state that the servers are from.
+    /// How much of a server's slots, 0 to 1, may have been taken or released since other
+    /// entries said what they have there. Servers whose loads differ by less are chosen
+    /// from at random, as all entries would send to the least loaded one otherwise.
+    double load_margin = 0;
 };
 
 /// What this entry knows of itself.
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -243,8 +243,10 @@
         return;
     }
     const auto peers = near_active_peers();
-    next_occupancy_ = now_ + occupancy_interval(peers.size());
-    for (const auto& [id, pool] : shared_pools_) {
+    const auto interval = occupancy_interval(peers.size());
+    next_occupancy_ = now_ + interval;
+    for (auto& [id, pool] : shared_pools_) {
+        pool.set_occupancy_interval(interval);
         control::pool_evidence it;
         it.pool = id;
         it.in_flight.emplace();
--- a/src/entry/shared_pool.cpp
+++ b/src/entry/shared_pool.cpp
@@ -14,6 +14,9 @@
 /// Words a second that an entry sends at most, until the longest interval: 40 sent and 40
 /// received take about 2.5 ms of processor time.
 constexpr double occupancy_words_per_s = 40;
+/// Slots are taken about once in this time where half of them are in use. A word is half
+/// an interval old on average.
+constexpr absl::Duration slot_time = absl::Milliseconds(800);
 
 } // namespace
 
@@ -25,6 +28,11 @@
         longest_occupancy_interval);
 }
 
+double load_margin(absl::Duration occupancy_interval)
+{
+    return std::min(1.0, absl::FDivDuration(occupancy_interval, slot_time) / 2);
+}
+
 shared_pool::shared_pool(core::pool_id id, core::failure_domain_id own_domain)
     : id_(std::move(id)), own_domain_(std::move(own_domain))
 {
@@ -74,6 +82,7 @@
     out.settings = settings_;
     out.is_mine = true;
     out.revision = revision_;
+    out.load_margin = load_margin(occupancy_interval_);
     absl::btree_map<core::server_id, std::uint32_t> elsewhere;
     for (const auto& [entry, told] : elsewhere_) {
         if (now - told.at <= occupancy_memory) {
--- a/src/entry/shared_pool_priv.hpp
+++ b/src/entry/shared_pool_priv.hpp
@@ -21,6 +21,10 @@
 /// peers are told less often, so that the processor time spent on it stays bounded.
 absl::Duration occupancy_interval(std::size_t peers);
 
+/// Part of a server's slots that may have been taken or released since entries said what
+/// they have there, if they do so this often.
+double load_margin(absl::Duration occupancy_interval);
+
 /// A pool that every entry serves: its servers as control lists them, and what requests
 /// have shown of them here and at other entries.
 class shared_pool
@@ -33,6 +37,8 @@
 
     /// What the request dispatcher has to know now.
     request::pool_update update(absl::Time now) const;
+    /// Other entries say this often what they have at servers.
+    void set_occupancy_interval(absl::Duration it) { occupancy_interval_ = it; }
 
     void observe(absl::Time now, const request::observation& it);
     /// What another entry saw of the servers and has at them.
@@ -40,8 +46,8 @@
     receive(absl::Time now, const core::endpoint& from, const control::pool_evidence& it);
     /// Failures seen here since the last call, for other entries; empty if none.
     std::optional<control::pool_evidence> take_evidence();
-    /// The failures that entries of `domain` should know: those of servers they prefer, and
-    /// all for entries of the own domain, as these use the same far servers.
+    /// The failures that entries of `domain` should know: those of servers they prefer,
+    /// and all for entries of the own domain, as these use the same far servers.
     std::vector<control::pool_evidence::server_count> failures_for(
         const core::failure_domain_id& domain, const control::pool_evidence& all) const;
 
@@ -65,6 +71,7 @@
     core::pool_id id_;
     core::failure_domain_id own_domain_;
     config::pool_settings settings_;
+    absl::Duration occupancy_interval_;
     core::revision revision_;
     std::shared_ptr<const control::pool_servers> source_;
     absl::btree_map<core::server_id, server> servers_;
