--- a/src/entry/preferred_servers.cpp
+++ b/src/entry/preferred_servers.cpp
@@ -12,8 +12,9 @@
 /// Entries that prefer a server. With fewer its load depends on what few callers do; with
 /// more an entry knows little of it.
 constexpr std::size_t entries_per_server = 4;
-/// Servers that an entry prefers at least, so that it can avoid one that fails.
-constexpr std::size_t servers_per_entry = 4;
+/// Servers that an entry prefers at least, so that it can avoid some that fail: a third
+/// of the servers may.
+constexpr std::size_t servers_per_entry = 8;
 
 } // namespace
 
