--- a/src/request/dispatcher_answers.cpp
+++ b/src/request/dispatcher_answers.cpp
@@ -49,6 +49,8 @@
          {"penalty", server.penalty},
          {"suspicion", server.suspicion},
          {"elsewhere", static_cast<std::int64_t>(server.elsewhere)},
+         {"far", server.is_far},
+         {"preferred", server.is_preferred},
          {"pool_in_flight", static_cast<std::int64_t>(pool.in_flight())},
          {"servers", static_cast<std::int64_t>(pool.known().servers.size())},
          {"known_for_ms", absl::ToInt64Milliseconds(now_ - entry_.confirmed)},
