--- a/include/cuminpitch/entry/node.hpp
+++ b/include/cuminpitch/entry/node.hpp
@@ -56,7 +56,9 @@
     request::dialect dialect;
     /// A process that has just started gets the declarations within this time; requests
     /// that arrive before wait for them instead of being refused.
-    absl::Duration start_hold;
+    absl::Duration start_window;
+    /// Each of them waits this long at most, as the time of its caller runs out.
+    absl::Duration start_hold = absl::InfiniteDuration();
     /// Logs each decision on a request.
     bool explains = false;
 };
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -34,7 +34,10 @@
 constexpr absl::Duration stale_state_limit = absl::Milliseconds(700);
 constexpr absl::Duration quick_sync_timeout = absl::Milliseconds(400);
 constexpr absl::Duration start_sync_interval = absl::Milliseconds(250);
-/// Control needs about as long after a stop of all its instances.
+/// After a stop of all processes, entries have the declarations 1.5 to 1.9 s after their
+/// start.
+constexpr absl::Duration start_window = absl::Milliseconds(2500);
+/// Leaves half of the time budgets of 2 s and more for the request itself.
 constexpr absl::Duration start_hold = absl::Milliseconds(1200);
 constexpr absl::Duration presence_interval = absl::Seconds(1);
 /// Contacts are only shown to operators, and are most of a report.
@@ -52,6 +55,7 @@
     it.isolation_timeout = settings.isolation_timeout;
     if (!settings.seeds.empty()) {
         it.control = settings.seeds;
+        it.start_window = start_window;
         it.start_hold = start_hold;
         it.start_sync_interval = start_sync_interval;
         it.stale_state_limit = stale_state_limit;
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -38,7 +38,7 @@
         answer_own(it.id, *it.message);
     } else {
         ++recent_requests_;
-        if (!routes_ && now_ - started_ < options_.start_hold) {
+        if (!routes_ && now_ - started_ < options_.start_window) {
             held_.push_back({it.id, std::move(it.message), now_});
             return;
         }
@@ -46,17 +46,22 @@
     }
 }
 
-/// Passes the requests on that waited for the declarations: once these are there, or
-/// after the time in which they should have come.
+/// Passes the requests on that waited for the declarations: once these are there, or when
+/// they aren't there in the time in which they should have come. Without declarations the
+/// dispatcher refuses them.
 void node::impl::release_held()
 {
-    if (held_.empty() || (!routes_ && now_ - started_ < options_.start_hold)) {
-        return;
-    }
+    const bool is_over = routes_ || now_ - started_ >= options_.start_window;
+    std::vector<held_request> waiting;
     for (auto& it : std::exchange(held_, {})) {
-        dispatch(
-            request::request_received{it.id, std::move(it.message), now_ - it.arrived});
+        if (is_over || now_ - it.arrived >= options_.start_hold) {
+            dispatch(request::request_received{
+                it.id, std::move(it.message), now_ - it.arrived});
+        } else {
+            waiting.push_back(std::move(it));
+        }
     }
+    held_ = std::move(waiting);
 }
 
 void node::impl::on(event::caller_gone& it)
