--- a/tests/entry/start_hold_test.cpp
+++ b/tests/entry/start_hold_test.cpp
@@ -29,19 +29,19 @@
             core::failure_domain_id("d")};
         options.start_window = absl::Milliseconds(2500);
         options.start_hold = absl::Milliseconds(1200);
-        entry =
-            std::make_unique<node>(options, control::make_compile_function(), metrics);
+        entry_ =
+            std::make_unique<node>(options, control::make_compile_function(), metrics_);
         advance(absl::ZeroDuration());
     }
 
     /// Ticks until that much time has passed.
     void advance(absl::Duration time)
     {
-        const auto end = now + time;
+        const auto end = now_ + time;
         do {
             handle(event::tick{});
-            now = std::min(end, now + absl::Milliseconds(20));
-        } while (now < end);
+            now_ = std::min(end, now_ + absl::Milliseconds(20));
+        } while (now_ < end);
         handle(event::tick{});
     }
 
@@ -84,20 +84,20 @@
 private:
     void handle(node_event it)
     {
-        for (const auto& out : entry->handle(now, std::move(it))) {
+        for (const auto& out : entry_->handle(now_, std::move(it))) {
             if (const auto* response = std::get_if<action::http_respond>(&out)) {
                 outcomes[response->id.value()] = response->response.status;
             } else if (const auto* call = std::get_if<action::start_call>(&out);
                        call != nullptr && call->request.to == server_at) {
-                outcomes[++calls] = sent;
+                outcomes[++calls_] = sent;
             }
         }
     }
 
-    telemetry::metrics metrics;
-    std::unique_ptr<node> entry;
-    absl::Time now = absl::FromUnixSeconds(1000);
-    std::uint64_t calls = 0;
+    telemetry::metrics metrics_;
+    std::unique_ptr<node> entry_;
+    absl::Time now_ = absl::FromUnixSeconds(1000);
+    std::uint64_t calls_ = 0;
 };
 
 // Guards against refusing all that waited, a moment before the state is there: entries
