--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -5,6 +5,7 @@
 #include "cuminpitch/core/random.hpp"
 #include "entry/preferred_servers_priv.hpp"
 #include "entry/shared_pool_priv.hpp"
+#include "request/pool_state_priv.hpp"
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
@@ -31,8 +32,6 @@
 /// Requests of the first seconds find an empty system.
 constexpr double warm_up_s = 5;
 constexpr double late_s = 2;
-/// As in request::pool_state.
-constexpr double other_penalty = 0.6;
 
 enum class choice
 {
@@ -191,8 +190,9 @@
             }
         }
         const bool prefers = how_ == choice::preferred || how_ == choice::preferred_own;
-        return load / slots +
-               (prefers && !is_preferred_[entry][server] ? other_penalty : 0);
+        return load / slots + (prefers && !is_preferred_[entry][server]
+                                   ? request::not_preferred_penalty
+                                   : 0);
     }
 
     std::size_t choose(std::size_t entry)
--- a/src/request/pool_state.cpp
+++ b/src/request/pool_state.cpp
@@ -29,11 +29,6 @@
            most_for_body * std::min(1.0, static_cast<double>(body_bytes) / body_for_most);
 }
 
-/// The same for one that other entries prefer: less than the distance of a far one, and
-/// so much that its load isn't what decides. With 0.3 instead, a third of the servers
-/// failing and 0.6 of the slots in use, a fifth more requests find their server full.
-constexpr double other_penalty = 0.6;
-
 bool was_tried(const live_request& it, const core::server_id& server)
 {
     return std::find(it.tried.begin(), it.tried.end(), server) != it.tried.end();
@@ -89,7 +84,7 @@
                    server.view.slots +
                server.view.penalty + weight * server.view.suspicion +
                (server.view.is_far ? far : 0) +
-               (server.view.is_preferred ? 0 : other_penalty);
+               (server.view.is_preferred ? 0 : not_preferred_penalty);
     };
     for (const auto& server : servers_) {
         const std::uint32_t most = server.view.probation ? 1 : server.view.slots;
--- a/src/request/pool_state_priv.hpp
+++ b/src/request/pool_state_priv.hpp
@@ -14,6 +14,10 @@
 
 namespace cuminpitch::request {
 
+/// Penalty, in parts of its slots, of a near server that other entries prefer: less than
+/// the distance of a far one. `bench/placement.cpp` shows its effect.
+inline constexpr double not_preferred_penalty = 0.6;
+
 /// Slots, queue and retry budget of one pool at this entry.
 class pool_state
 {
