Share the fixture of three entry tests, the list of near entries and a wrapper of the encoder

Three tests of entries built the same pool, servers, state and request; tests/entry/fixture.hpp holds them. The entries of the own failure domain were collected in three loops. Two writers had the same template. Behaviour is the same; assertions stay. The load test no longer sees equal seeds, since each entry prefers other servers: a direct test of start_seed guards that. A doc comment stood above the wrong type, another named an old half-life.

--- a/src/control/entry_roster_priv.hpp
+++ b/src/control/entry_roster_priv.hpp
@@ -10,8 +10,6 @@
 
 namespace cuminpitch::control {
 
-/// The entries that make themselves known to this control instance, for callers that ask
-/// where to connect.
 /// How many entries of each failure domain callers are told to use.
 struct entry_demand
 {
@@ -25,6 +23,8 @@
 /// only so many requests.
 std::size_t entries_to_name(const entry_demand& it, std::size_t domains);
 
+/// The entries that make themselves known to this control instance, for callers that ask
+/// where to connect.
 class entry_roster
 {
 public:
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -24,6 +24,9 @@
 namespace cuminpitch::daemon {
 namespace {
 
+constexpr int not_found = 404;
+constexpr int unavailable = 503;
+
 constexpr absl::Duration tick_interval = absl::Milliseconds(20);
 
 /// After the last request, responses may still be on their way to callers.
@@ -209,8 +212,6 @@
 void entry_daemon::answer_directory(
     const http::request& message, http::exchange& exchange)
 {
-    constexpr int not_found = 404;
-    constexpr int unavailable = 503;
     http::response it;
     if (extras_.api == nullptr || message.path != extras_.api->directory_path) {
         it.status = not_found;
@@ -232,8 +233,6 @@
 void entry_daemon::answer_readiness(
     const http::request& message, http::exchange& exchange)
 {
-    constexpr int not_found = 404;
-    constexpr int unavailable = 503;
     http::response it;
     if (message.path == entry::metrics_path) {
         const absl::MutexLock lock(&mutex_);
--- a/src/entry/node_impl_priv.hpp
+++ b/src/entry/node_impl_priv.hpp
@@ -153,6 +153,7 @@
     void share_evidence();
     void pass_failures_on();
     void share_occupancy();
+    std::vector<core::endpoint> near_peers() const;
     std::vector<core::endpoint> near_active_peers() const;
     void announce_activity();
     void receive_evidence(const net::peer& from, const control::pool_evidence& it);
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -5,7 +5,7 @@
 namespace cuminpitch::entry {
 namespace {
 
-/// Penalties of servers halve in 1.5 s, so they change little in this time.
+/// The suspicion of a server halves in 5 s, so it changes little in this time.
 constexpr absl::Duration penalty_interval = absl::Milliseconds(100);
 /// An entry that carried this many requests within activity_interval is told what others
 /// have at servers; one that carries fewer hardly adds to it.
@@ -184,12 +184,14 @@
 
 void node::impl::pass_failures_on()
 {
-    for (const auto& it : relay_.take(now_)) {
-        for (const auto& [entry, record] : view_->entries) {
-            if (entry != options_.self.id &&
-                record.failure_domain == options_.self.failure_domain) {
-                out_.push_back(send_message(record.internal, it));
-            }
+    const auto words = relay_.take(now_);
+    if (words.empty()) {
+        return;
+    }
+    const auto peers = near_peers();
+    for (const auto& it : words) {
+        for (const auto& peer : peers) {
+            out_.push_back(send_message(peer, it));
         }
     }
 }
@@ -199,11 +201,8 @@
 {
     control::pool_evidence nothing;
     nothing.pool = shared_pools_.begin()->first;
-    for (const auto& [id, record] : view_->entries) {
-        if (id != options_.self.id &&
-            record.failure_domain == options_.self.failure_domain) {
-            out_.push_back(send_message(record.internal, nothing));
-        }
+    for (const auto& peer : near_peers()) {
+        out_.push_back(send_message(peer, nothing));
     }
 }
 
@@ -241,20 +240,30 @@
     }
 }
 
-/// Entries of this failure domain that carry requests.
-std::vector<core::endpoint> node::impl::near_active_peers() const
+/// The other entries of this failure domain.
+std::vector<core::endpoint> node::impl::near_peers() const
 {
     std::vector<core::endpoint> out;
     for (const auto& [entry, record] : view_->entries) {
-        const auto active = active_peers_.find(record.internal);
-        if (record.failure_domain == options_.self.failure_domain &&
-            active != active_peers_.end() && now_ - active->second < activity_memory) {
+        if (entry != options_.self.id &&
+            record.failure_domain == options_.self.failure_domain) {
             out.push_back(record.internal);
         }
     }
     return out;
 }
 
+/// Those that carry requests.
+std::vector<core::endpoint> node::impl::near_active_peers() const
+{
+    auto out = near_peers();
+    std::erase_if(out, [&](const core::endpoint& it) {
+        const auto active = active_peers_.find(it);
+        return active == active_peers_.end() || now_ - active->second >= activity_memory;
+    });
+    return out;
+}
+
 /// Tells the other active entries of this failure domain what this one has at the
 /// servers, as they mostly use the same ones. Others are not told: bytes between domains
 /// are dear.
--- a/src/wire/control_encoder.cpp
+++ b/src/wire/control_encoder.cpp
@@ -15,6 +15,14 @@
 namespace fb = cuminpitch::wire::control;
 namespace model = cuminpitch::control;
 
+template <class Union, class T>
+Union wrap(T body)
+{
+    Union result;
+    result.Set(std::move(body));
+    return result;
+}
+
 // Writing: model types to the native types of the generated code.
 
 fb::endpoint_fieldsT to_wire(const core::endpoint& it)
@@ -90,19 +98,19 @@
             item->remove = !op.value.has_value();
             body.operations.push_back(std::move(item));
         }
-        return wrap(std::move(body));
+        return wrap<fb::command_bodyUnion>(std::move(body));
     }
     fb::command_bodyUnion operator()(const model::entry_joined& it) const
     {
         fb::entry_joinedT body;
         body.entry = to_wire(it.entry, it.incarnation);
-        return wrap(std::move(body));
+        return wrap<fb::command_bodyUnion>(std::move(body));
     }
     fb::command_bodyUnion operator()(const model::entry_removed& it) const
     {
         fb::entry_removedT body;
         body.id = it.id.str();
-        return wrap(std::move(body));
+        return wrap<fb::command_bodyUnion>(std::move(body));
     }
     fb::command_bodyUnion operator()(const model::set_assignment& it) const
     {
@@ -112,22 +120,13 @@
         body.entries = to_wire(it.entries);
         body.expected_list_revision = it.expected_list_revision.value();
         body.forced = it.forced;
-        return wrap(std::move(body));
+        return wrap<fb::command_bodyUnion>(std::move(body));
     }
     fb::command_bodyUnion operator()(const model::server_announced& it) const
     {
         fb::server_announcedT body;
         body.announced = std::make_unique<fb::serverT>(to_wire(it.server));
-        return wrap(std::move(body));
-    }
-
-private:
-    template <class T>
-    static fb::command_bodyUnion wrap(T body)
-    {
-        fb::command_bodyUnion result;
-        result.Set(std::move(body));
-        return result;
+        return wrap<fb::command_bodyUnion>(std::move(body));
     }
 };
 
@@ -349,14 +348,14 @@
     {
         fb::appliedT body;
         body.revision = it.revision.value();
-        return wrap(body);
+        return wrap<fb::outcome_bodyUnion>(body);
     }
     fb::outcome_bodyUnion operator()(const model::conflict& it) const
     {
         fb::conflictT body;
         body.current = it.current.value();
         body.paths = it.paths;
-        return wrap(std::move(body));
+        return wrap<fb::outcome_bodyUnion>(std::move(body));
     }
     fb::outcome_bodyUnion operator()(const model::invalid& it) const
     {
@@ -367,18 +366,9 @@
             item->reason = problem.reason;
             body.problems.push_back(std::move(item));
         }
-        return wrap(std::move(body));
+        return wrap<fb::outcome_bodyUnion>(std::move(body));
     }
     fb::outcome_bodyUnion operator()(const model::ignored&) const { return {}; }
-
-private:
-    template <class T>
-    static fb::outcome_bodyUnion wrap(T body)
-    {
-        fb::outcome_bodyUnion result;
-        result.Set(std::move(body));
-        return result;
-    }
 };
 
 std::string bytes_of(const flatbuffers::FlatBufferBuilder& builder)
--- a/tests/entry/fleet_load_test.cpp
+++ b/tests/entry/fleet_load_test.cpp
@@ -2,17 +2,16 @@
 // moment, send requests that run at most once. A lost request stays lost, so what counts
 // is how often a failing server is found out anew, and how evenly the others are used.
 
+#include "fixture.hpp"
+
 #include "cuminpitch/control/declared_settings.hpp"
 #include "cuminpitch/core/random.hpp"
-#include "cuminpitch/entry/node.hpp"
-#include "cuminpitch/wire/control_codec.hpp"
 
 #include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <map>
-#include <set>
 
 namespace cuminpitch::entry {
 namespace {
@@ -26,11 +25,9 @@
 constexpr absl::Duration work = absl::Milliseconds(700);
 constexpr absl::Duration tick_interval = absl::Milliseconds(20);
 
-const core::pool_id pool{core::team_id("t"), "p"};
-
-core::failure_domain_id domain_of(std::size_t index)
+std::string domain_of(std::size_t index)
 {
-    return core::failure_domain_id(index % 2 == 0 ? "a" : "b");
+    return index % 2 == 0 ? "a" : "b";
 }
 
 control::entry_record record_of(std::size_t index)
@@ -40,35 +37,22 @@
         core::instance_id(absl::StrCat("entry-", index)),
         {at, 80},
         {at, 7000},
-        domain_of(index)};
+        core::failure_domain_id(domain_of(index))};
 }
 
-control::update make_contents()
+std::shared_ptr<const control::fleet_contents> make_fleet()
 {
-    auto out = std::make_shared<control::fleet_contents>();
-    out->revision = core::revision(1);
-    out->settings = {
-        {"teams/t/pools/p/every_entry", "true"},
-        {"teams/t/routes/r/host", "\"h\""},
-        {"teams/t/routes/r/path_prefix", "\"/\""},
-        {"teams/t/routes/r/pool", "\"p\""},
-        {"teams/t/routes/r/idempotent", "false"}};
+    const auto out = make_contents();
     for (std::size_t n = 0; n < entries; ++n) {
         out->entries[record_of(n).id] = {record_of(n), 1};
     }
     for (std::uint32_t n = 0; n < servers; ++n) {
-        control::server_record it;
-        it.pool = pool;
-        it.announcement.server = core::server_id(absl::StrCat("server-", n));
-        it.announcement.address = {"10.0.2.1", static_cast<std::uint16_t>(1000 + n / 2)};
-        it.announcement.failure_domain = domain_of(n);
-        it.announcement.slots = slots;
-        if (n % 2 == 1) {
-            it.announcement.address.host = "10.0.2.2";
-        }
-        out->servers[it.announcement.server] = it;
+        const core::endpoint at{
+            n % 2 == 0 ? "10.0.2.1" : "10.0.2.2",
+            static_cast<std::uint16_t>(1000 + n / 2)};
+        add_server(*out, absl::StrCat("server-", n), at, domain_of(n), slots);
     }
-    return std::shared_ptr<const control::fleet_contents>(out);
+    return out;
 }
 
 class fleet_load_test : public testing::Test
@@ -77,6 +61,7 @@
     fleet_load_test()
     {
         constexpr std::uint64_t started_us = 1'700'000'000'000'000;
+        const auto contents = make_fleet();
         for (std::size_t n = 0; n < entries; ++n) {
             node_options options;
             options.self = record_of(n);
@@ -84,13 +69,7 @@
             options.seed = start_seed(options.self.id, started_us);
             auto& it = fleet_.emplace_back(std::make_unique<node>(
                 options, control::make_compile_function(), metrics_));
-            const control::message state =
-                control::sync_response{make_contents(), core::revision(1), {}, true};
-            it->handle(
-                now_,
-                event::frame_received{
-                    {core::instance_id("control"), {"10.0.3.1", 7000}},
-                    {net::channel::control, wire::encode(state)}});
+            it->handle(now_, whole_state(contents));
             it->handle(now_, event::tick{});
         }
     }
@@ -106,14 +85,7 @@
         advance(start + time);
     }
 
-    void send(std::size_t entry)
-    {
-        auto message = std::make_shared<http::request>();
-        message->method = "POST";
-        message->target = message->path = "/x";
-        message->headers.add("Host", "h");
-        handle(entry, event::http_request{core::request_id(++last_request_), message});
-    }
+    void send(std::size_t entry) { handle(entry, make_order(++last_request_)); }
 
     bool some_fail_ = false;
     std::map<core::endpoint, std::vector<absl::Time>> failed_;
@@ -254,6 +226,14 @@
     }
 }
 
+// Guards against the same in a small fleet, where all entries prefer the same servers.
+TEST(start_seed, differs_between_entries_started_together)
+{
+    EXPECT_NE(
+        start_seed(core::instance_id("entry-1"), 7),
+        start_seed(core::instance_id("entry-2"), 7));
+}
+
 // Guards against entries that all send to the servers with the least work as told, until
 // they are told otherwise: that fills more servers than choosing blindly.
 TEST_F(fleet_load_test, seldom_sends_to_a_full_server)
--- a/tests/entry/start_hold_test.cpp
+++ b/tests/entry/start_hold_test.cpp
@@ -1,8 +1,8 @@
 // After a stop of all processes, entries take requests before control has a leader again.
 
+#include "fixture.hpp"
+
 #include "cuminpitch/control/declared_settings.hpp"
-#include "cuminpitch/entry/node.hpp"
-#include "cuminpitch/wire/control_codec.hpp"
 
 #include <gtest/gtest.h>
 
@@ -12,7 +12,6 @@
 namespace cuminpitch::entry {
 namespace {
 
-const core::pool_id pool{core::team_id("t"), "p"};
 const core::endpoint server_at{"10.0.0.1", 80};
 constexpr int sent = 0; ///< Outcome of a request that went to the server.
 
@@ -21,12 +20,7 @@
 protected:
     start_hold_test()
     {
-        node_options options;
-        options.self = {
-            core::instance_id("self"),
-            {"10.0.0.8", 80},
-            {"10.0.0.8", 7000},
-            core::failure_domain_id("d")};
+        auto options = entry_options();
         options.start_window = absl::Milliseconds(2500);
         options.start_hold = absl::Milliseconds(1200);
         entry_ =
@@ -45,38 +39,13 @@
         handle(event::tick{});
     }
 
-    void request(std::uint64_t id)
-    {
-        auto message = std::make_shared<http::request>();
-        message->method = "POST";
-        message->target = message->path = "/x";
-        message->headers.add("Host", "h");
-        handle(event::http_request{core::request_id(id), message});
-    }
+    void request(std::uint64_t id) { handle(make_order(id)); }
 
     void receive_state()
     {
-        auto contents = std::make_shared<control::fleet_contents>();
-        contents->revision = core::revision(1);
-        contents->settings = {
-            {"teams/t/pools/p/every_entry", "true"},
-            {"teams/t/routes/r/host", "\"h\""},
-            {"teams/t/routes/r/path_prefix", "\"/\""},
-            {"teams/t/routes/r/pool", "\"p\""},
-            {"teams/t/routes/r/idempotent", "false"}};
-        control::server_record server;
-        server.pool = pool;
-        server.announcement.server = core::server_id("s");
-        server.announcement.address = server_at;
-        server.announcement.failure_domain = core::failure_domain_id("d");
-        server.announcement.slots = 4;
-        contents->servers[server.announcement.server] = server;
-        const std::shared_ptr<const control::fleet_contents> shared = contents;
-        const control::message state =
-            control::sync_response{shared, core::revision(1), {}, true};
-        handle(event::frame_received{
-            {core::instance_id("control"), {"10.0.0.9", 7000}},
-            {net::channel::control, wire::encode(state)}});
+        const auto contents = make_contents();
+        add_server(*contents, "s", server_at, "d", 4);
+        handle(whole_state(contents));
     }
 
     std::map<std::uint64_t, int> outcomes;
