Give up answers that never end or belong to another request

A response whose headers show another request's id, or success without the server's proof, was read to its end before it was dropped.

The client now bounds all bodies that it receives together and gives the largest up; counts the bytes around chunks; gives up at the headers where these announce too much or can't be the response that was expected. Trailers no longer count as headers. Bytes without end count against the server.

Ruled out: heads, header lines, interim heads and trailers without end were bounded before.

--- a/include/cuminpitch/http/client.hpp
+++ b/include/cuminpitch/http/client.hpp
@@ -23,11 +23,22 @@
     /// Fewer body bytes than announced, a cut chunk, or a body whose end is only marked
     /// by the end of the connection, which a crash of the server would also cause.
     short_response,
-    response_too_large, ///< More than max_response_bytes.
-    malformed_response, ///< Not HTTP/1.x.
+    response_too_large, ///< Announced to be longer than max_response_bytes.
+    /// Bytes went on beyond a bound without an announced length, or were the most where
+    /// all responses together became too large.
+    endless_response,
+    malformed_response, ///< Not HTTP/1.x, or not the response that was expected.
     cancelled,          ///< cancel() was called.
 };
 
+/// What shows that a response belongs to its request. Nothing is checked if empty.
+struct expected_response
+{
+    std::string header; ///< Repeated by the server with `value`.
+    std::string value;
+    std::string success_proof; ///< Header of each response with a status of 2xx.
+};
+
 struct client_request
 {
     core::endpoint to;
@@ -44,6 +55,10 @@
     /// not set, it counts as short, since a crash may look the same.
     bool accepts_close_delimited = false;
     std::uint64_t max_response_bytes = 8U << 20U;
+    /// A response that can't be this one is given up at the end of its headers. One that
+    /// lacks them may be a refusal of a server that read only a part of the request, and
+    /// is left to the caller unless it says success.
+    expected_response expected;
 };
 
 struct client_result
@@ -67,6 +82,8 @@
     /// An idle connection that is older is not used again.
     absl::Duration idle_connection_age = absl::Seconds(15);
     unsigned idle_connection_limit = 512;
+    /// All response bodies that are being received. Above it the largest is given up.
+    std::uint64_t max_held_response_bytes = 64U << 20U;
 };
 
 /// Asynchronous HTTP/1.1 client on libcurl multi, run by one thread. Sends each request
--- a/include/cuminpitch/request/events.hpp
+++ b/include/cuminpitch/request/events.hpp
@@ -117,6 +117,7 @@
     bool fresh_connection = false;
     bool accepts_close_delimited = false;
     std::uint64_t max_response_bytes = 0;
+    http::expected_response expected;
     http::headers headers;
     std::shared_ptr<const http::request> message;
 };
--- a/src/http/attempt.cpp
+++ b/src/http/attempt.cpp
@@ -12,6 +12,13 @@
 
 /// Bound on the response headers that are held in memory.
 constexpr std::size_t header_limit_bytes = 256U << 10U;
+/// Bytes around a body in chunks, beside those that the body allows: as many as headers.
+constexpr std::uint64_t framing_limit_bytes = header_limit_bytes;
+/// Bytes on the way for each byte of a body in chunks: a chunk of one byte takes six, and
+/// more with a size in several digits.
+constexpr std::uint64_t most_raw_bytes_per_byte = 16;
+constexpr long first_final_status = 200;
+constexpr long first_redirect = 300;
 
 bool has_body_by_rule(const std::string& method)
 {
@@ -28,9 +35,14 @@
 
 } // namespace
 
-attempt::attempt(client_request request, client::callback done, bool allow_resend)
+attempt::attempt(
+    client_request request,
+    client::callback done,
+    bool allow_resend,
+    received_bytes& received)
     : request_(std::move(request)), done_(std::move(done)), allow_resend_(allow_resend),
-      easy_(curl_easy_init(), &curl_easy_cleanup), fields_(nullptr, &curl_slist_free_all)
+      received_(received), easy_(curl_easy_init(), &curl_easy_cleanup),
+      fields_(nullptr, &curl_slist_free_all)
 {
     if (easy_) {
         set_options();
@@ -39,6 +51,11 @@
     }
 }
 
+attempt::~attempt()
+{
+    received_.held -= held_bytes_;
+}
+
 void attempt::set_options()
 {
     CURL* it = easy_.get();
@@ -67,6 +84,13 @@
     curl_easy_setopt(it, CURLOPT_HEADERDATA, this);
     curl_easy_setopt(it, CURLOPT_WRITEFUNCTION, &take_body);
     curl_easy_setopt(it, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(it, CURLOPT_DEBUGFUNCTION, &count_raw);
+    curl_easy_setopt(it, CURLOPT_DEBUGDATA, this);
+    // libcurl gives up at the headers where they announce more.
+    curl_easy_setopt(
+        it,
+        CURLOPT_MAXFILESIZE_LARGE,
+        static_cast<curl_off_t>(request_.max_response_bytes));
     curl_easy_setopt(it, CURLOPT_PRIVATE, this);
 }
 
@@ -137,11 +161,15 @@
     header_bytes_ += line.size();
     malformed_ = malformed_ || header_bytes_ > header_limit_bytes;
     absl::StripAsciiWhitespace(&line);
+    if (is_final_) {
+        return !malformed_; // A trailer, which nobody asked for (RFC 9110, 6.5.1).
+    }
     if (absl::StartsWith(line, "HTTP/")) {
         response_ = {}; // An interim response (1xx) came before.
         is_head_whole_ = false;
     } else if (line.empty()) {
         is_head_whole_ = true;
+        finish_head();
     } else if (const auto colon = line.find(':'); colon != std::string::npos) {
         std::string value = line.substr(colon + 1);
         absl::StripAsciiWhitespace(&value);
@@ -150,21 +178,77 @@
     return !malformed_;
 }
 
+void attempt::finish_head()
+{
+    long status = 0;
+    curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
+    if (status < first_final_status) {
+        return;
+    }
+    is_final_ = true;
+    malformed_ = malformed_ || !may_be_expected(status);
+    if (response_.headers.has("Transfer-Encoding")) {
+        // libcurl shows the bytes around chunks only to the debug function.
+        curl_easy_setopt(easy_.get(), CURLOPT_VERBOSE, 1L);
+    }
+}
+
+bool attempt::may_be_expected(long status) const
+{
+    const auto& expected = request_.expected;
+    const bool is_success = status < first_redirect;
+    if (is_success && !expected.success_proof.empty() &&
+        !response_.headers.has(expected.success_proof)) {
+        return false;
+    }
+    if (expected.header.empty()) {
+        return true;
+    }
+    bool is_repeated = false;
+    for (const auto& [name, value] : response_.headers.fields()) {
+        if (absl::EqualsIgnoreCase(name, expected.header)) {
+            if (value != expected.value) {
+                return false;
+            }
+            is_repeated = true;
+        }
+    }
+    return is_repeated || !is_success;
+}
+
 std::size_t attempt::take_body(char* data, std::size_t /*one*/, std::size_t n, void* self)
 {
     auto& it = *static_cast<attempt*>(self);
     if (it.response_.body.size() + n > it.request_.max_response_bytes) {
-        it.too_large_ = true;
+        it.is_endless_ = true;
         return 0;
     }
     it.response_.body.append(data, n);
+    it.held_bytes_ += n;
+    it.received_.held += n;
     return n;
 }
 
+int attempt::count_raw(
+    CURL* /*easy*/, curl_infotype what, char* /*data*/, std::size_t n, void* self)
+{
+    auto& it = *static_cast<attempt*>(self);
+    if (what == CURLINFO_DATA_IN) {
+        it.raw_body_bytes_ += n;
+        const auto most =
+            framing_limit_bytes + most_raw_bytes_per_byte * it.response_.body.size();
+        if (it.raw_body_bytes_ > most) {
+            it.is_overrun_ = true;
+            it.received_.has_overrun = true;
+        }
+    }
+    return 0;
+}
+
 http::failure attempt::failure_of(CURLcode code) const
 {
-    if (too_large_) {
-        return failure::response_too_large;
+    if (is_endless_) {
+        return failure::endless_response;
     }
     if (malformed_) {
         return failure::malformed_response;
@@ -177,6 +261,8 @@
         return check_framing();
     case CURLE_OPERATION_TIMEDOUT:
         return failure::timeout;
+    case CURLE_FILESIZE_EXCEEDED:
+        return failure::response_too_large;
     case CURLE_PARTIAL_FILE:
         return failure::short_response;
     case CURLE_WEIRD_SERVER_REPLY:
@@ -231,6 +317,11 @@
     report(failure::cancelled);
 }
 
+void attempt::give_up()
+{
+    report(failure::endless_response);
+}
+
 void attempt::report(http::failure why)
 {
     client_result out;
--- a/src/http/attempt_priv.hpp
+++ b/src/http/attempt_priv.hpp
@@ -2,6 +2,8 @@
 
 #include "cuminpitch/http/client.hpp"
 
+#include "received_bytes_priv.hpp"
+
 #include <absl/time/time.h>
 #include <curl/curl.h>
 
@@ -15,7 +17,13 @@
 class attempt
 {
 public:
-    attempt(client_request request, client::callback done, bool allow_resend);
+    /// `received` outlives the attempt.
+    attempt(
+        client_request request,
+        client::callback done,
+        bool allow_resend,
+        received_bytes& received);
+    ~attempt();
     attempt(const attempt&) = delete;
     attempt& operator=(const attempt&) = delete;
 
@@ -23,16 +31,27 @@
     CURL* easy() { return easy_.get(); }
     void finish(CURLcode code);
     void cancel();
+    /// Reports the response as endless.
+    void give_up();
+
+    /// Bytes of the response body that are held.
+    std::uint64_t held_bytes() const { return held_bytes_; }
+    /// The server sends far more framing than body.
+    bool is_overrun() const { return is_overrun_; }
 
 private:
     static int may_send(void* self, char*, char*, int, int);
     static std::size_t take_header(char* data, std::size_t, std::size_t n, void* self);
     static std::size_t take_body(char* data, std::size_t, std::size_t n, void* self);
+    static int
+    count_raw(CURL*, curl_infotype what, char* data, std::size_t n, void* self);
 
     void set_options();
     void set_method();
     void add_headers();
     bool header_line(std::string line);
+    void finish_head();
+    bool may_be_expected(long status) const;
     http::failure failure_of(CURLcode code) const;
     http::failure check_framing() const;
     void report(http::failure why);
@@ -40,14 +59,19 @@
     client_request request_;
     client::callback done_;
     const bool allow_resend_;
+    received_bytes& received_;
     std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> easy_;
     std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)> fields_;
     std::chrono::steady_clock::time_point begin_ = std::chrono::steady_clock::now();
     response response_;
     std::size_t header_bytes_ = 0;
+    std::uint64_t held_bytes_ = 0;
+    std::uint64_t raw_body_bytes_ = 0; ///< With framing, of a body in chunks.
     unsigned sends_ = 0;
     bool is_head_whole_ = false;
-    bool too_large_ = false;
+    bool is_final_ = false; ///< What follows the head is no other head.
+    bool is_endless_ = false;
+    bool is_overrun_ = false;
     bool malformed_ = false;
     bool connect_timed_out_ = false;
 };
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -6,7 +6,9 @@
 #include <absl/synchronization/mutex.h>
 #include <curl/curl.h>
 
+#include <algorithm>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace cuminpitch::http {
@@ -72,6 +74,9 @@
     void run();
     void execute(command it);
     void finish_done();
+    /// Gives responses up that are larger than they may be together, or by their framing.
+    void give_up_endless();
+    handle largest() const;
     std::unique_ptr<attempt> take(handle it);
 
     const client_options options_;
@@ -80,6 +85,7 @@
     bool stopping_ = false;
     handle last_handle_ = 0;
     std::vector<command> commands_;
+    received_bytes received_;
     absl::flat_hash_map<handle, std::unique_ptr<attempt>> active_;
     absl::flat_hash_map<CURL*, handle> handles_;
     std::thread thread_;
@@ -100,6 +106,7 @@
         int running = 0;
         curl_multi_perform(multi_, &running);
         finish_done();
+        give_up_endless();
         if (!stopping) {
             curl_multi_poll(multi_, nullptr, 0, poll_ms, nullptr);
         }
@@ -118,7 +125,7 @@
         return;
     }
     auto next = std::make_unique<attempt>(
-        std::move(it.request), std::move(it.done), options_.allow_resend);
+        std::move(it.request), std::move(it.done), options_.allow_resend, received_);
     CURL* easy = next->easy();
     if (easy == nullptr) {
         next->finish(CURLE_OUT_OF_MEMORY);
@@ -146,6 +153,34 @@
     return out;
 }
 
+void curl_client::give_up_endless()
+{
+    while (received_.held > options_.max_held_response_bytes) {
+        take(largest())->give_up();
+    }
+    if (!std::exchange(received_.has_overrun, false)) {
+        return;
+    }
+    std::vector<handle> overrun;
+    for (const auto& [id, it] : active_) {
+        if (it->is_overrun()) {
+            overrun.push_back(id);
+        }
+    }
+    for (const handle id : overrun) {
+        take(id)->give_up();
+    }
+}
+
+client::handle curl_client::largest() const
+{
+    const auto it = std::max_element(
+        active_.begin(), active_.end(), [](const auto& left, const auto& right) {
+            return left.second->held_bytes() < right.second->held_bytes();
+        });
+    return it->first;
+}
+
 void curl_client::finish_done()
 {
     int left = 0;
--- a/src/request/messages.cpp
+++ b/src/request/messages.cpp
@@ -57,6 +57,11 @@
     if (!names.target_server.empty()) {
         out.headers.set(names.target_server, server.id.str());
     }
+    if (!names.correlation.empty() && !it.correlation.empty()) {
+        out.expected.header = names.correlation;
+        out.expected.value = it.correlation;
+    }
+    out.expected.success_proof = names.success_proof;
     if (it.pool->every_entry) {
         out.connect_timeout = shared_pool_connect_timeout;
     }
@@ -107,6 +112,7 @@
     out.accepts_close_delimited = it.accepts_close_delimited;
     out.fresh_connection = it.fresh_connection;
     out.max_response_bytes = it.max_response_bytes;
+    out.expected = it.expected;
     return out;
 }
 
--- a/src/request/retry_filter.cpp
+++ b/src/request/retry_filter.cpp
@@ -117,6 +117,7 @@
         return refusal_reason::short_response;
     case http::failure::response_too_large:
         return refusal_reason::response_too_large;
+    case http::failure::endless_response:
     case http::failure::malformed_response:
         return refusal_reason::malformed_response;
     case http::failure::none:
--- /dev/null
+++ b/tests/http/endless_answer_test.cpp
@@ -0,0 +1,198 @@
+#include "cuminpitch/http/client.hpp"
+
+#include "raw_socket.hpp"
+
+#include <gtest/gtest.h>
+
+#include <future>
+
+namespace cuminpitch::http {
+namespace {
+
+const std::string ok_head = "HTTP/1.1 200 OK\r\n";
+const std::string chunked_head = ok_head + "Transfer-Encoding: chunked\r\n\r\n";
+constexpr std::size_t most_bytes = 1U << 20U;
+
+client_request request_to(const core::endpoint& to)
+{
+    client_request it;
+    it.to = to;
+    it.method = "POST";
+    it.target = "/orders";
+    it.body = "order";
+    it.timeout = absl::Seconds(20);
+    it.fresh_connection = true;
+    it.accepts_close_delimited = true;
+    it.max_response_bytes = most_bytes;
+    return it;
+}
+
+std::future<client_result> start(client& it, client_request request)
+{
+    auto done = std::make_shared<std::promise<client_result>>();
+    it.start(std::move(request), [done](client_result out) {
+        done->set_value(std::move(out));
+    });
+    return done->get_future();
+}
+
+/// Whether the server notices soon that the connection is closed.
+bool is_let_go(const raw_server& it)
+{
+    for (int n = 0; n < 200 && it.endless_answers() > 0; ++n) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return it.endless_answers() == 0;
+}
+
+struct endless_case
+{
+    const char* name;
+    std::string bytes;
+    std::string without_end;
+};
+
+class endless : public testing::TestWithParam<endless_case>
+{
+};
+
+// Guards against an entry that reads a faulty server's bytes until the time limit: its
+// link and memory are there for the answers to other requests.
+TEST_P(endless, answer_is_given_up_before_the_time_limit)
+{
+    raw_server server([](unsigned, const std::string&) {
+        return raw_server::reply{GetParam().bytes, false, false, GetParam().without_end};
+    });
+    const auto it = client::create();
+    const auto out = start(*it, request_to(server.at())).get();
+    EXPECT_NE(out.failure, failure::none);
+    EXPECT_NE(out.failure, failure::timeout);
+    EXPECT_EQ(out.verdict, core::verdict::may_have_run);
+    EXPECT_TRUE(is_let_go(server));
+}
+
+const std::string block(4096, 'x');
+
+INSTANTIATE_TEST_SUITE_P(
+    kinds,
+    endless,
+    testing::Values(
+        endless_case{"no_head", "", block},
+        endless_case{"no_head_lines", "", "hello\r\n"},
+        endless_case{"status_line", "HTTP/1.1 200 ", block},
+        endless_case{"header_line", ok_head + "X-Long: ", block},
+        endless_case{"header_lines", ok_head, "X-Field: value\r\n"},
+        endless_case{"interim_heads", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+        endless_case{"body_until_close", ok_head + "\r\n", block},
+        endless_case{"body_of_chunks", chunked_head, "4\r\nabcd\r\n"},
+        endless_case{
+            "announced_body", ok_head + "Content-Length: 99999999999\r\n\r\n", block},
+        endless_case{"chunk_size", chunked_head, "0"},
+        endless_case{"chunk_extension", chunked_head + "4;", block},
+        endless_case{"chunks_of_one_byte", chunked_head, "1;aaaaaaaaaaaaaaa\r\nx\r\n"},
+        endless_case{"trailer_line", chunked_head + "0\r\nX-Long: ", block},
+        endless_case{"trailer_lines", chunked_head + "0\r\n", "X-Field: value\r\n"}),
+    [](const auto& it) { return std::string(it.param.name); });
+
+// Guards against a process that runs out of memory although each answer is bounded.
+TEST(endless_answers, are_bounded_together)
+{
+    constexpr unsigned servers = 8;
+    raw_server server([](unsigned, const std::string&) {
+        return raw_server::reply{ok_head + "\r\n", false, false, block};
+    });
+    const auto it = client::create({.max_held_response_bytes = 2 * most_bytes});
+    std::vector<std::future<client_result>> results;
+    for (unsigned n = 0; n < servers; ++n) {
+        auto request = request_to(server.at());
+        request.max_response_bytes = 1U << 30U;
+        results.push_back(start(*it, std::move(request)));
+    }
+    for (auto& each : results) {
+        EXPECT_EQ(each.get().failure, failure::endless_response);
+    }
+    EXPECT_TRUE(is_let_go(server));
+}
+
+// Guards against the answer to one request that ends those to others: the largest goes.
+TEST(endless_answers, leave_others_alone)
+{
+    const std::string whole(most_bytes / 2, 'y');
+    raw_server endless_server([](unsigned, const std::string&) {
+        return raw_server::reply{ok_head + "\r\n", false, false, block};
+    });
+    raw_server good([&](unsigned, const std::string&) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        return raw_server::reply{
+            ok_head + "Content-Length: " + std::to_string(whole.size()) + "\r\n\r\n" +
+            whole};
+    });
+    const auto it = client::create({.max_held_response_bytes = 4 * most_bytes});
+    auto bad = request_to(endless_server.at());
+    bad.max_response_bytes = 1U << 30U;
+    auto first = start(*it, bad);
+    for (int n = 0; n < 10; ++n) {
+        EXPECT_EQ(
+            start(*it, request_to(good.at())).get().response.body.size(), whole.size());
+    }
+    EXPECT_EQ(first.get().failure, failure::endless_response);
+}
+
+client_request request_with_id(const core::endpoint& to)
+{
+    auto it = request_to(to);
+    it.timeout = absl::Seconds(2);
+    it.expected = {"X-Id", "id-7", "X-Proof"};
+    return it;
+}
+
+struct foreign_case
+{
+    const char* name;
+    std::string head;
+};
+
+class foreign : public testing::TestWithParam<foreign_case>
+{
+};
+
+// Guards against reading on where the head already shows that the answer isn't the one
+// to this request. The body comes slowly, so that no bound on its size is reached.
+TEST_P(foreign, answer_is_given_up_at_its_head)
+{
+    raw_server server([](unsigned, const std::string&) {
+        return raw_server::reply{
+            ok_head + GetParam().head + "Content-Length: 99\r\n\r\nabc", false};
+    });
+    const auto it = client::create();
+    const auto out = start(*it, request_with_id(server.at())).get();
+    EXPECT_EQ(out.failure, failure::malformed_response);
+    EXPECT_EQ(out.verdict, core::verdict::may_have_run);
+    EXPECT_LT(out.elapsed, absl::Seconds(1));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    heads,
+    foreign,
+    testing::Values(
+        foreign_case{"other_id", "X-Id: id-6\r\nX-Proof: p\r\n"},
+        foreign_case{"no_id", "X-Proof: p\r\n"},
+        foreign_case{"no_proof", "X-Id: id-7\r\n"},
+        foreign_case{"second_id", "X-Id: id-7\r\nX-Id: id-6\r\nX-Proof: p\r\n"}),
+    [](const auto& it) { return std::string(it.param.name); });
+
+// Guards against giving up a refusal of a server that read too little to repeat the id.
+TEST(foreign_answers, refusal_without_id_is_read)
+{
+    raw_server server([](unsigned, const std::string&) {
+        return raw_server::reply{
+            "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"};
+    });
+    const auto it = client::create();
+    const auto out = start(*it, request_with_id(server.at())).get();
+    EXPECT_EQ(out.failure, failure::none);
+    EXPECT_EQ(out.response.status, 503);
+}
+
+} // namespace
+} // namespace cuminpitch::http
--- a/tests/http/raw_socket.hpp
+++ b/tests/http/raw_socket.hpp
@@ -102,6 +102,8 @@
         std::string bytes;
         bool close_after = false;
         bool reset = false;
+        /// Follows `bytes` again and again until the other end closes.
+        std::string without_end;
     };
     using script = std::function<reply(unsigned n, const std::string& request)>;
 
@@ -131,8 +133,35 @@
     core::endpoint at() const { return {"127.0.0.1", port_}; }
     unsigned executions() const { return executions_; }
     unsigned connections() const { return connections_; }
+    /// Bytes of answers without end that were sent.
+    std::size_t endless_bytes() const { return endless_bytes_; }
+    /// Answers without end that are still being sent.
+    unsigned endless_answers() const { return endless_answers_; }
 
 private:
+    /// Until the other end closes.
+    void send_without_end(int socket, const std::string& bytes)
+    {
+        constexpr int step_ms = 10;
+        ++endless_answers_;
+        for (std::size_t at = 0; !stopping_; at %= bytes.size()) {
+            pollfd it{socket, POLLOUT, 0};
+            if (::poll(&it, 1, step_ms) == 0) {
+                continue;
+            }
+            const auto n = ::send(
+                socket,
+                bytes.data() + at,
+                bytes.size() - at,
+                MSG_NOSIGNAL | MSG_DONTWAIT);
+            if (n < 0) {
+                break;
+            }
+            at += static_cast<std::size_t>(n);
+            endless_bytes_ += static_cast<std::size_t>(n);
+        }
+        --endless_answers_;
+    }
     bool wait(int socket) const
     {
         constexpr int step_ms = 10;
@@ -178,6 +207,10 @@
             const reply out = script_(++executions_, request);
             request.clear();
             send_all(socket, out.bytes);
+            if (!out.without_end.empty()) {
+                send_without_end(socket, out.without_end);
+                break;
+            }
             if (out.reset) {
                 const linger now{1, 0};
                 ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &now, sizeof now);
@@ -195,6 +228,8 @@
     std::atomic<bool> stopping_{false};
     std::atomic<unsigned> executions_{0};
     std::atomic<unsigned> connections_{0};
+    std::atomic<std::size_t> endless_bytes_{0};
+    std::atomic<unsigned> endless_answers_{0};
     std::thread acceptor_;
     std::vector<std::thread> workers_;
 };
--- a/tests/request/dialect_test.cpp
+++ b/tests/request/dialect_test.cpp
@@ -58,6 +58,10 @@
     EXPECT_EQ(sent.send.headers.get("D"), "2000");
     EXPECT_EQ(sent.send.headers.get("C"), "id-7");
     EXPECT_TRUE(sent.send.accepts_close_delimited);
+    const auto& expected = make_client_request(sent.send).expected;
+    EXPECT_EQ(expected.header, "C");
+    EXPECT_EQ(expected.value, "id-7");
+    EXPECT_EQ(expected.success_proof, "P");
 }
 
 // Guards against a lost order although a server proves that it didn't run it.
@@ -112,6 +116,17 @@
         200);
 }
 
+// Guards against a server that sends bytes without end and counts as well.
+TEST_F(dialect_test, answer_without_end_tells_of_its_server)
+{
+    const auto sent = only<start_attempt>(send("/read"));
+    const auto out = finish(
+        sent.send.attempt,
+        broken(http::failure::endless_response, verdict::may_have_run));
+    EXPECT_EQ(only<observe>(out).what.what, observation::kind::failure);
+    EXPECT_NE(only<start_attempt>(out).server, sent.server);
+}
+
 // Guards against a status that says "not run" for a request that ran.
 TEST_F(dialect_test, unproved_unavailability_becomes_an_unknown_outcome)
 {
