--- a/include/cuminpitch/core/process_settings.hpp
+++ b/include/cuminpitch/core/process_settings.hpp
@@ -38,6 +38,9 @@
     /// `--slots-per-entry`, slots of servers that one entry can keep in use. Where
     /// servers have more, more entries are named. 0: never.
     std::uint32_t slots_per_entry = 0;
+    /// `--memory-mb`: memory that the process may use, in MB. Bounds the bodies that it
+    /// holds. 0: not known.
+    std::uint32_t memory_mb = 0;
     telemetry::severity log_level = telemetry::severity::info; ///< `--log-level`.
     bool fault_injection = false; ///< `--fault-injection`, only for tests.
 };
@@ -68,6 +71,9 @@
     std::optional<absl::Duration> stop_grace;
     std::vector<endpoint> peers; ///< `--peers`, internal endpoints of some other
                                  ///< entries; may be empty.
+    /// `--memory-mb`: memory that the process may use, in MB. Bounds the bodies that it
+    /// holds. 0: not known.
+    std::uint32_t memory_mb = 0;
     telemetry::severity log_level = telemetry::severity::info; ///< `--log-level`.
     bool fault_injection = false; ///< `--fault-injection`, only for tests.
 };
--- a/src/core/process_settings.cpp
+++ b/src/core/process_settings.cpp
@@ -14,6 +14,7 @@
 const std::vector<std::string> truth_values = {"false", "true"};
 constexpr std::uint32_t max_entries_per_answer = 64;
 constexpr std::uint32_t max_slots_per_entry = 1'000'000;
+constexpr std::uint32_t max_memory_mb = 1'000'000;
 
 /// An endpoint that may be left out.
 setting_type<std::vector<endpoint>> optional_endpoint_setting()
@@ -69,6 +70,13 @@
         choice_setting(log_levels),
         texts.log_level,
         "info");
+    parser.add(
+        "memory-mb",
+        "Memory in MB that the process may use, which bounds the bodies that it holds; "
+        "0: not known",
+        count_setting(0, max_memory_mb),
+        to.memory_mb,
+        "0");
     parser.add_hidden_flag("fault-injection", to.fault_injection);
 }
 
--- /dev/null
+++ b/src/daemon/body_limits.cpp
@@ -0,0 +1,22 @@
+#include "daemon/body_limits_priv.hpp"
+
+namespace cuminpitch::daemon {
+namespace {
+
+// With three times the former and twice the latter, a fifth of the memory is left for the
+// process itself: an entry takes 10 to 20 MB of the users' 160.
+constexpr std::uint64_t request_part = 5;
+constexpr std::uint64_t response_part = 10;
+
+} // namespace
+
+body_limits limits_for(std::uint32_t memory_mb)
+{
+    if (memory_mb == 0) {
+        return {};
+    }
+    const std::uint64_t memory = std::uint64_t{memory_mb} << 20U;
+    return {memory / request_part, memory / response_part};
+}
+
+} // namespace cuminpitch::daemon
--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -8,6 +8,7 @@
 #include "cuminpitch/net/tcp_transport.hpp"
 #include "cuminpitch/telemetry/log.hpp"
 #include "cuminpitch/telemetry/metrics.hpp"
+#include "daemon/body_limits_priv.hpp"
 #include "daemon/clock_priv.hpp"
 #include "daemon/fault_injection_priv.hpp"
 #include "daemon/listeners_priv.hpp"
@@ -193,14 +194,18 @@
     if (!transport_) {
         return false;
     }
+    http::server_options options;
+    options.listen = settings_.http;
+    options.max_held_bytes = limits_for(settings_.memory_mb).requests;
     server_ = open_server(
-        settings_.http,
+        options,
         [this](http::request it, const std::shared_ptr<http::exchange>& exchange) {
             receive(std::move(it), exchange);
         });
     if (server_ != nullptr && settings_.directory) {
+        options.listen = *settings_.directory;
         directory_server_ = open_server(
-            *settings_.directory,
+            options,
             [this](http::request it, const std::shared_ptr<http::exchange>& exchange) {
                 receive(std::move(it), exchange);
             });
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -7,6 +7,7 @@
 #include "cuminpitch/net/tcp_transport.hpp"
 #include "cuminpitch/telemetry/log.hpp"
 #include "cuminpitch/telemetry/metrics.hpp"
+#include "daemon/body_limits_priv.hpp"
 #include "daemon/clock_priv.hpp"
 #include "daemon/fault_injection_priv.hpp"
 #include "daemon/listeners_priv.hpp"
@@ -77,6 +78,18 @@
     return it;
 }
 
+/// Questions about this entry have no body.
+constexpr std::uint64_t question_limit_bytes = 64U << 10U;
+
+http::server_options for_questions(const core::endpoint& at)
+{
+    http::server_options it;
+    it.listen = at;
+    it.max_body_bytes = question_limit_bytes;
+    it.max_held_bytes = question_limit_bytes;
+    return it;
+}
+
 /// Connects the state machine with sockets, clock and threads.
 class entry_daemon
 {
@@ -173,7 +186,10 @@
 {
     // Events that arrive at once wait until everything is open.
     const absl::MutexLock lock(&mutex_);
-    client_ = http::client::create();
+    const auto limits = limits_for(settings_.memory_mb);
+    http::client_options calls;
+    calls.max_held_response_bytes = limits.responses;
+    client_ = http::client::create(calls);
     transport_ = open_transport(
         {settings_.id, settings_.internal},
         settings_.internal_listen,
@@ -183,15 +199,18 @@
     if (!transport_) {
         return false;
     }
+    http::server_options requests;
+    requests.listen = settings_.http;
+    requests.max_held_bytes = limits.requests;
     server_ = open_server(
-        settings_.http,
+        requests,
         [this](http::request it, const std::shared_ptr<http::exchange>& exchange) {
             receive(std::move(it), exchange);
         });
     bool is_open = server_ != nullptr;
     if (is_open && settings_.readiness) {
         readiness_server_ = open_server(
-            *settings_.readiness,
+            for_questions(*settings_.readiness),
             [this](const http::request& it, const std::shared_ptr<http::exchange>& to) {
                 answer_readiness(it, *to);
             });
@@ -199,7 +218,7 @@
     }
     if (is_open && settings_.directory) {
         directory_server_ = open_server(
-            *settings_.directory,
+            for_questions(*settings_.directory),
             [this](const http::request& it, const std::shared_ptr<http::exchange>& to) {
                 answer_directory(it, *to);
             });
--- a/src/daemon/listeners.cpp
+++ b/src/daemon/listeners.cpp
@@ -35,11 +35,10 @@
 }
 
 std::unique_ptr<http::server>
-open_server(const core::endpoint& at, http::server::handler on_request)
+open_server(http::server_options options, http::server::handler on_request)
 {
-    http::server_options options;
-    options.listen = at;
-    auto made = http::server::create(options, std::move(on_request));
+    const core::endpoint at = options.listen;
+    auto made = http::server::create(std::move(options), std::move(on_request));
     if (!made) {
         log_failure("http", at);
         return nullptr;
--- a/src/daemon/listeners_priv.hpp
+++ b/src/daemon/listeners_priv.hpp
@@ -17,6 +17,6 @@
 
 /// Listens for HTTP. Null after logging why it can't.
 std::unique_ptr<http::server>
-open_server(const core::endpoint& at, http::server::handler on_request);
+open_server(http::server_options options, http::server::handler on_request);
 
 } // namespace cuminpitch::daemon
--- a/tests/core/process_settings_test.cpp
+++ b/tests/core/process_settings_test.cpp
@@ -73,6 +73,21 @@
     EXPECT_EQ(settings->log_level, telemetry::severity::info);
 }
 
+// Guards against a bound on memory that is read and not passed on.
+TEST(process_settings, reads_the_memory_of_both_kinds_of_instances)
+{
+    auto control = control_arguments();
+    control["--memory-mb"] = "256";
+    auto entry = entry_arguments();
+    entry["--memory-mb"] = "160";
+    EXPECT_EQ(
+        std::get<control_settings>(parse_with(parse_control_settings, control)).memory_mb,
+        256U);
+    EXPECT_EQ(
+        std::get<entry_settings>(parse_with(parse_entry_settings, entry)).memory_mb,
+        160U);
+}
+
 // Guards against a wrong value that is accepted, or refused without name and value.
 TEST(process_settings, refuses_wrong_values_with_name_and_value)
 {
@@ -86,6 +101,8 @@
         {"--peers", "127.0.0.2:7002,127.0.0.2:7002"},
         {"--peers", "127.0.0.2:7002,"},
         {"--data-dir", "/nonexistent/folder"},
+        {"--memory-mb", "-1"},
+        {"--memory-mb", "160MB"},
         {"--log-level", "loud"}};
     for (const auto& [name, value] : wrong) {
         auto from = control_arguments();
