Send each entry the state once, and pack it once for all

Each report of an entry, every 250 to 500 ms, was answered with all that it lacked, also while that was still on its way over a link of 2.1 Mbit/s; and the leader answered reports that others had passed on with the whole state too, up to five times for each process. A change was encoded and compressed anew for each entry.

An update now counts as on its way for the time that its bytes take on half of such a link; a restarted process gets everything at once. The leader's confirmation of a relayed report carries no state. A pushed change is packed once for all entries that have the same revision.

--- a/include/cuminpitch/net/transport.hpp
+++ b/include/cuminpitch/net/transport.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace cuminpitch::net {
@@ -23,8 +24,16 @@
 {
     net::channel channel = net::channel::consensus;
     std::string payload;
+    bool is_packed = false; ///< The payload is compressed already.
 };
 
+/// The frame with its payload compressed, if that makes it shorter. For a frame that goes
+/// to many: a transport would compress it for each of them.
+frame packed(frame it);
+/// The frame with its payload as it was; empty if that can't be restored. A transport
+/// delivers frames unpacked.
+std::optional<frame> unpacked(frame it);
+
 /// The process at the other end, as it named itself.
 struct peer
 {
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -109,16 +109,13 @@
 
 void node::impl::receive_report(const net::peer& from, const sync_request& it)
 {
-    clients_.note(now_, it);
+    const auto base = clients_.note(now_, it);
     if (is_leader()) {
-        take_report(it, false);
+        take_report(it);
+        answer_report(it, from.internal, base, confirms(it));
         return;
     }
-    auto response = sync_clients::make_response(state_, it.in_force, leader(), false);
-    complete(response, it);
-    out_.emplace_back(action::send_frame{
-        from.internal,
-        net::frame{net::channel::control, wire::encode(message(response))}});
+    answer_report(it, from.internal, base, false);
     auto& next_relay = next_relays_[it.entry.id];
     if (now_ < next_relay) {
         return;
@@ -132,24 +129,46 @@
     }
 }
 
-void node::impl::take_report(const sync_request& it, bool is_relayed)
+/// As the leader.
+void node::impl::take_report(const sync_request& it)
 {
-    if (!controller_) {
-        return;
+    if (controller_) {
+        controller_->report(it, now_);
     }
-    controller_->report(it, now_);
-    const bool confirmed =
-        confirmations_.report(now_, it, majority_contact()) && replica_->synchronized();
-    const bool answers =
-        !is_relayed || (confirmed && confirmations_.wants_answer(it.entry.id));
-    if (answers) {
-        auto response =
-            sync_clients::make_response(state_, it.in_force, leader(), confirmed);
-        complete(response, it);
-        out_.emplace_back(action::send_frame{
-            it.entry.internal,
-            net::frame{net::channel::control, wire::encode(message(response))}});
+}
+
+bool node::impl::confirms(const sync_request& it)
+{
+    return controller_ && confirmations_.report(now_, it, majority_contact()) &&
+           replica_->synchronized();
+}
+
+void node::impl::answer_report(
+    const sync_request& it, const core::endpoint& to, core::revision base, bool confirmed)
+{
+    auto response = sync_clients::make_response(state_, base, leader(), confirmed);
+    complete(response, it);
+    const auto frame =
+        net::packed({net::channel::control, wire::encode(message(response))});
+    clients_.note_sent(now_, it.entry.id, state_.revision(), frame.payload.size());
+    out_.emplace_back(action::send_frame{to, frame});
+}
+
+/// The entry gets the state from the instance that passed its report on. After a start of
+/// hundreds of entries another copy for each would take more memory than there is.
+void node::impl::confirm_relayed(const sync_request& it)
+{
+    if (!confirms(it) || !confirmations_.wants_answer(it.entry.id)) {
+        return;
     }
+    sync_response response;
+    response.current = state_.revision();
+    response.leader = leader();
+    response.confirmed = true;
+    response.age = state_age();
+    out_.emplace_back(action::send_frame{
+        it.entry.internal,
+        net::frame{net::channel::control, wire::encode(message(response))}});
 }
 
 void node::impl::receive(const net::peer& from, const group_hello& it)
@@ -166,7 +185,10 @@
 
 void node::impl::receive(const net::peer&, const relayed_report& it)
 {
-    take_report(it.report, true);
+    if (is_leader()) {
+        take_report(it.report);
+        confirm_relayed(it.report);
+    }
 }
 
 void node::impl::send_hellos()
--- a/src/control/node_impl_priv.hpp
+++ b/src/control/node_impl_priv.hpp
@@ -74,7 +74,15 @@
     void receive_report(const net::peer& from, const sync_request& it);
     void receive(const net::peer& from, const group_hello& it);
     void receive(const net::peer& from, const relayed_report& it);
-    void take_report(const sync_request& it, bool is_relayed);
+    void take_report(const sync_request& it);
+    /// Whether the entry may be told that it isn't behind an earlier process of itself.
+    bool confirms(const sync_request& it);
+    void answer_report(
+        const sync_request& it,
+        const core::endpoint& to,
+        core::revision base,
+        bool confirmed);
+    void confirm_relayed(const sync_request& it);
     void send_hellos();
     void keep_members();
     void remove_silent_voter();
--- a/src/control/sync_clients.cpp
+++ b/src/control/sync_clients.cpp
@@ -10,26 +10,55 @@
 /// An entry that reported longer ago uses another control instance by now.
 constexpr absl::Duration client_timeout = absl::Seconds(3);
 
+/// Time for a short message and the report that shows that it arrived: entries report
+/// every 500 ms.
+constexpr absl::Duration delivery_time = absl::Milliseconds(700);
+/// Half of the slowest links of the users' entries, 2.1 Mbit/s; the rest carries
+/// requests.
+constexpr double link_bytes_per_s = 128U << 10U;
+
 /// Confirmations sent for each process of an entry, as some may be lost.
 constexpr unsigned confirmation_limit = 5;
 
 } // namespace
 
-void sync_clients::note(absl::Time now, const sync_request& it)
+core::revision sync_clients::note(absl::Time now, const sync_request& it)
 {
     auto& known = clients_[it.entry.id];
+    const bool is_same =
+        known.incarnation == it.incarnation && known.internal == it.entry.internal;
+    const bool is_on_its_way = is_same && it.in_force < known.sent && now < known.arrived;
     known.internal = it.entry.internal;
-    known.sent = it.in_force;
+    known.incarnation = it.incarnation;
     known.seen = now;
+    if (!is_on_its_way) {
+        known.sent = it.in_force;
+    }
+    return known.sent;
+}
+
+void sync_clients::note_sent(
+    absl::Time now,
+    const core::instance_id& entry,
+    core::revision revision,
+    std::size_t bytes)
+{
+    auto& known = clients_[entry];
+    if (known.sent >= revision) {
+        return;
+    }
+    known.sent = revision;
+    known.arrived = std::max(known.arrived, now) + delivery_time +
+                    absl::Seconds(static_cast<double>(bytes) / link_bytes_per_s);
 }
 
 sync_response sync_clients::make_response(
     const fleet_state& state,
-    core::revision in_force,
+    core::revision base,
     const std::optional<leader_address>& leader,
     bool confirmed)
 {
-    return {state.packed_update_for(in_force), state.revision(), leader, confirmed};
+    return {state.packed_update_for(base), state.revision(), leader, confirmed};
 }
 
 void sync_clients::push(
@@ -40,15 +69,20 @@
 {
     absl::erase_if(
         clients_, [&](const auto& it) { return now - it.second.seen > client_timeout; });
+    // Most clients have the same revision, and get the same bytes.
+    absl::btree_map<core::revision, net::frame> frames;
     for (auto& [id, it] : clients_) {
         if (it.sent >= state.revision()) {
             continue;
         }
-        const auto response = make_response(state, it.sent, leader, false);
-        it.sent = state.revision();
-        out.emplace_back(action::send_frame{
-            it.internal,
-            net::frame{net::channel::control, wire::encode(message(response))}});
+        const auto [frame, is_new] = frames.try_emplace(it.sent);
+        if (is_new) {
+            frame->second = net::packed(
+                {net::channel::control,
+                 wire::encode(message(make_response(state, it.sent, leader, false)))});
+        }
+        out.emplace_back(action::send_frame{it.internal, frame->second});
+        note_sent(now, id, state.revision(), frame->second.payload.size());
     }
 }
 
--- a/src/control/sync_clients_priv.hpp
+++ b/src/control/sync_clients_priv.hpp
@@ -12,17 +12,27 @@
 
 namespace cuminpitch::control {
 
-/// The entries that get the fleet state from this control instance.
+/// The entries that get the fleet state from this control instance. Each gets an update
+/// once: the links of entries are slow, and a second copy would keep others waiting. It
+/// is sent again if the entry still lacks it when it must have arrived.
 class sync_clients
 {
 public:
-    /// Takes a report that came from the entry itself.
-    void note(absl::Time now, const sync_request& it);
+    /// Takes a report that came from the entry itself. Returns the revision that the
+    /// update in the answer has to start from.
+    core::revision note(absl::Time now, const sync_request& it);
+
+    /// An answer with an update up to `revision`, of so many bytes on the wire, was sent.
+    void note_sent(
+        absl::Time now,
+        const core::instance_id& entry,
+        core::revision revision,
+        std::size_t bytes);
 
     /// The answer to a report.
     static sync_response make_response(
         const fleet_state& state,
-        core::revision in_force,
+        core::revision base,
         const std::optional<leader_address>& leader,
         bool confirmed);
 
@@ -37,7 +47,10 @@
     struct client
     {
         core::endpoint internal;
+        std::uint64_t incarnation = 0;
         core::revision sent; ///< Newest revision sent or reported.
+        /// When what was sent must have arrived.
+        absl::Time arrived = absl::InfinitePast();
         absl::Time seen;
     };
 
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -109,12 +109,17 @@
 void node::impl::on(event::frame_received& it)
 {
     link_.heard(now_, it.from.id);
-    switch (it.message.channel) {
+    const auto message = net::unpacked(std::move(it.message));
+    if (!message) {
+        metrics_.add("cuminpitch_malformed_messages_total");
+        return;
+    }
+    switch (message->channel) {
     case net::channel::control:
-        receive_control(it.from, it.message);
+        receive_control(it.from, *message);
         break;
     case net::channel::pool:
-        receive_pool(it.from, it.message);
+        receive_pool(it.from, *message);
         break;
     default:
         break;
--- a/src/net/frame_codec.cpp
+++ b/src/net/frame_codec.cpp
@@ -21,19 +21,45 @@
     return n;
 }
 
-std::string encode_frame(std::uint8_t channel, const std::string& payload)
+frame packed(frame it)
 {
-    std::string shorter;
-    if (payload.size() >= least_compressed_bytes) {
-        shorter = compress(payload);
+    if (it.is_packed || it.payload.size() < least_compressed_bytes) {
+        return it;
+    }
+    std::string shorter = compress(it.payload);
+    if (!shorter.empty() && shorter.size() < it.payload.size()) {
+        it.payload = std::move(shorter);
+        it.is_packed = true;
+    }
+    return it;
+}
+
+std::optional<frame> unpacked(frame it)
+{
+    if (it.is_packed) {
+        auto whole = expand(it.payload, largest_frame_bytes);
+        if (!whole) {
+            return std::nullopt;
+        }
+        it.payload = std::move(*whole);
+        it.is_packed = false;
+    }
+    return it;
+}
+
+std::string encode_frame(std::uint8_t channel, const std::string& payload, bool is_packed)
+{
+    if (!is_packed && payload.size() >= least_compressed_bytes) {
+        const frame shorter = packed({net::channel{channel}, payload});
+        if (shorter.is_packed) {
+            return encode_frame(channel, shorter.payload, true);
+        }
     }
-    const bool is_compressed = !shorter.empty() && shorter.size() < payload.size();
-    const std::string& sent = is_compressed ? shorter : payload;
     std::string buf;
-    buf.reserve(frame_header_bytes + sent.size());
-    put_length(buf, sent.size());
-    buf.push_back(static_cast<char>(channel | (is_compressed ? compressed_flag : 0)));
-    buf += sent;
+    buf.reserve(frame_header_bytes + payload.size());
+    put_length(buf, payload.size());
+    buf.push_back(static_cast<char>(channel | (is_packed ? compressed_flag : 0)));
+    buf += payload;
     return buf;
 }
 
--- a/src/net/frame_codec_priv.hpp
+++ b/src/net/frame_codec_priv.hpp
@@ -25,8 +25,11 @@
 /// heartbeats are shorter; fleet states and declarations are longer and repeat
 /// themselves.
 inline constexpr std::size_t least_compressed_bytes = 1024;
+/// The whole state at the target size is about 30 MB.
+inline constexpr std::size_t largest_frame_bytes = std::size_t{64} << 20U;
 
-std::string encode_frame(std::uint8_t channel, const std::string& payload);
+std::string
+encode_frame(std::uint8_t channel, const std::string& payload, bool is_packed = false);
 
 /// "<id> <host>:<port>".
 std::string encode_hello(const peer& self);
--- a/tests/control/group_test.cpp
+++ b/tests/control/group_test.cpp
@@ -238,6 +238,55 @@
     EXPECT_EQ(first.size(), 2U);
 }
 
+// Guards against a control instance that runs out of memory when hundreds of entries
+// start at once: the state went to each of them with every report, and from the leader
+// too.
+TEST(group, entries_that_start_together_get_the_state_once)
+{
+    constexpr int entries = 277;
+    constexpr int servers = 60;
+    group_world world(5, 3);
+    world.run_for(absl::Seconds(5));
+    const auto leader = world.leader();
+    ASSERT_TRUE(leader.has_value());
+    for (int n = 0; n < servers; ++n) {
+        ASSERT_TRUE(world.ask_any(group_world::announce(
+            "server-" + std::to_string(n), upstream::availability::active)));
+    }
+    const std::size_t other = *leader == 0 ? 1 : 0;
+    const auto report_all = [&](std::uint64_t incarnation) {
+        for (int n = 0; n < entries; ++n) {
+            sync_request it;
+            it.entry = make_entry("e" + std::to_string(n), "d1");
+            it.entry.internal = {"10.9.0.1", static_cast<std::uint16_t>(7000 + n)};
+            it.incarnation = incarnation;
+            world.report(other, it, absl::ZeroDuration());
+        }
+    };
+    report_all(1);
+    world.run_for(absl::Seconds(4));
+    const auto mean_from = [&](std::size_t i) {
+        std::size_t out = 0;
+        for (const auto& [to, bytes] : world.at(i).bytes_told) {
+            out += bytes;
+        }
+        world.at(i).bytes_told.clear();
+        return out / entries;
+    };
+    mean_from(other);
+    mean_from(*leader);
+    report_all(2);
+    world.run_for(absl::Milliseconds(200));
+    const auto once = mean_from(other);
+    // Their links are slow, so they go on reporting that they have nothing.
+    for (int round = 0; round < 2; ++round) {
+        report_all(2);
+        world.run_for(absl::Milliseconds(200));
+    }
+    EXPECT_LT(mean_from(other), once / 2);
+    EXPECT_LT(mean_from(*leader), once / 2);
+}
+
 // Guards against callers of an entry that hear nothing of other entries.
 TEST(group, entries_are_told_whom_to_name)
 {
--- a/tests/control/group_world.cpp
+++ b/tests/control/group_world.cpp
@@ -106,7 +106,9 @@
 
 void group_world::keep_for_entry(std::size_t i, const action::send_frame& it)
 {
-    const auto decoded = wire::decode_control_message(it.message.payload);
+    at(i).bytes_told[it.to] += net::packed(it.message).payload.size();
+    const auto decoded =
+        wire::decode_control_message(net::unpacked(it.message).value().payload);
     if (decoded) {
         if (const auto* told = std::get_if<sync_response>(&decoded.value())) {
             // A change that is pushed right after has neither list.
--- a/tests/control/group_world.hpp
+++ b/tests/control/group_world.hpp
@@ -33,6 +33,8 @@
         std::unique_ptr<node> running; ///< Null while it is down.
         std::map<core::request_id, api_answer> answers;
         std::map<core::endpoint, sync_response> told; ///< The last one for each entry.
+        /// Bytes of all that was sent to each entry.
+        std::map<core::endpoint, std::size_t> bytes_told;
     };
 
     /// The first `founders` of the instances are the seeds and form the group.
--- /dev/null
+++ b/tests/control/sync_clients_test.cpp
@@ -0,0 +1,123 @@
+#include "sample.hpp"
+
+#include "control/sync_clients_priv.hpp"
+#include "cuminpitch/wire/control_codec.hpp"
+
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+
+namespace cuminpitch::control {
+namespace {
+
+/// One control instance and an entry that reports to it.
+class sync_clients_test : public testing::Test
+{
+protected:
+    sync_clients_test()
+    {
+        report.entry.id = core::instance_id("e1");
+        report.entry.internal = {"127.0.0.1", 9};
+        report.incarnation = 1;
+        change();
+    }
+    void change()
+    {
+        ++changes;
+        state.apply(
+            rev(changes),
+            set_change(
+                std::to_string(changes),
+                changes - 1,
+                "teams/t/x" + std::to_string(changes),
+                "1"));
+    }
+    std::vector<net::frame> push()
+    {
+        std::vector<node_action> out;
+        clients.push(now, state, std::nullopt, out);
+        std::vector<net::frame> frames;
+        for (auto& it : out) {
+            frames.push_back(std::get<action::send_frame>(it).message);
+        }
+        return frames;
+    }
+
+    fleet_state state{compile_sample};
+    sync_clients clients;
+    sync_request report;
+    absl::Time now = absl::FromUnixSeconds(1000);
+    std::uint64_t changes = 0;
+};
+
+// Guards against a second copy of an update that is still on its way over a slow link: on
+// a link of 2.1 Mbit/s copies came faster than they went out.
+TEST_F(sync_clients_test, update_on_its_way_is_not_sent_again)
+{
+    EXPECT_EQ(clients.note(now, report), rev(0));
+    EXPECT_EQ(push().size(), 1U);
+    EXPECT_TRUE(push().empty());
+    now += absl::Milliseconds(500);
+    EXPECT_EQ(clients.note(now, report), rev(1));
+    EXPECT_TRUE(push().empty());
+}
+
+// Guards against an entry that never gets an update which was lost on its way.
+TEST_F(sync_clients_test, lost_update_is_sent_again)
+{
+    clients.note(now, report);
+    push();
+    now += absl::Milliseconds(1200);
+    EXPECT_EQ(clients.note(now, report), rev(0));
+    EXPECT_EQ(push().size(), 1U);
+}
+
+// Guards against the same for an update that takes long on a slow link, and for one that
+// waits behind it.
+TEST_F(sync_clients_test, large_update_has_more_time)
+{
+    constexpr std::size_t bytes = 256U << 10U;
+    clients.note(now, report);
+    clients.note_sent(now, report.entry.id, rev(1), bytes);
+    now += absl::Milliseconds(1200);
+    EXPECT_EQ(clients.note(now, report), rev(1));
+    change();
+    EXPECT_EQ(push().size(), 1U);
+    now += absl::Milliseconds(1200);
+    EXPECT_EQ(clients.note(now, report), rev(2));
+    now += absl::Milliseconds(1200);
+    EXPECT_EQ(clients.note(now, report), rev(0));
+}
+
+// Guards against a restarted entry that is taken to have what its last process was sent.
+TEST_F(sync_clients_test, restarted_entry_gets_everything_at_once)
+{
+    clients.note(now, report);
+    push();
+    report.incarnation = 2;
+    EXPECT_EQ(clients.note(now, report), rev(0));
+    EXPECT_EQ(push().size(), 1U);
+}
+
+// Guards against an update that is encoded and compressed for each of hundreds of
+// entries.
+TEST_F(sync_clients_test, entries_with_the_same_revision_get_the_same_bytes)
+{
+    for (int i = 0; i < 300; ++i) {
+        report.entry.id = core::instance_id("e" + std::to_string(i));
+        report.in_force = rev(i == 7 ? 0 : 1);
+        clients.note(now, report);
+    }
+    change();
+    const auto frames = push();
+    ASSERT_EQ(frames.size(), 300U);
+    std::set<std::string> different;
+    for (const auto& it : frames) {
+        different.insert(it.payload);
+    }
+    EXPECT_EQ(different.size(), 2U);
+}
+
+} // namespace
+} // namespace cuminpitch::control
--- a/tests/net/frame_compression_test.cpp
+++ b/tests/net/frame_compression_test.cpp
@@ -28,6 +28,22 @@
     EXPECT_EQ(it->payload, text);
 }
 
+// Guards against a frame to many entries that is compressed for each of them, or that
+// arrives compressed.
+TEST(frame_compression, packed_once_is_sent_as_it_is)
+{
+    const frame plain{channel::control, std::string(5000, 'x')};
+    const frame once = packed(plain);
+    ASSERT_TRUE(once.is_packed);
+    EXPECT_LT(once.payload.size(), plain.payload.size() / 4);
+    EXPECT_EQ(packed(once).payload, once.payload);
+    EXPECT_EQ(encode_frame(2, once.payload, true), encode_frame(2, plain.payload));
+    EXPECT_EQ(read_back(encode_frame(2, once.payload, true))->payload, plain.payload);
+    EXPECT_EQ(unpacked(once)->payload, plain.payload);
+    EXPECT_FALSE(packed({channel::control, "short"}).is_packed);
+    EXPECT_FALSE(unpacked({channel::control, "not compressed", true}).has_value());
+}
+
 // Guards against a damaged or endless frame that takes the process's memory.
 TEST(frame_compression, damaged_and_too_long_ones_are_refused)
 {
