Don't start from the state of a control instance that was just restarted

Cause: an entry with no state took whatever the first control instance had. Such a state now counts only if no instance in touch with a majority answers within the start window of 2.5 s.

Test: 404 before, sent to the server after (start_hold_test).

--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -47,6 +47,9 @@
 {
     std::vector<node_action> out;
     started_ = std::min(started_, now);
+    if (now - started_ >= options_.start_window) {
+        apply_early_updates();
+    }
     if (now < next_request_ || control_.empty()) {
         return out;
     }
@@ -134,7 +137,8 @@
     if (!it.named.empty()) {
         named_ = it.named;
     }
-    if (it.age <= options_.stale_state_limit) {
+    const bool is_fresh = it.age <= options_.stale_state_limit;
+    if (is_fresh) {
         if (std::exchange(is_lost_, false)) {
             out.push_back(action::write_log{
                 telemetry::severity::info,
@@ -148,6 +152,12 @@
         unanswered_since_ = absl::InfiniteFuture();
     }
     const auto before = replica_.revision();
+    if (!is_fresh && before == core::revision() &&
+        now - started_ < options_.start_window) {
+        early_updates_.push_back(it.update);
+        return;
+    }
+    apply_early_updates();
     replica_.apply(it.update);
     if (it.confirmed && replica_.revision() >= it.current) {
         confirmed_ = true;
@@ -163,6 +173,14 @@
     }
 }
 
+/// In the order in which they came: later ones may begin where these end.
+void control_link::apply_early_updates()
+{
+    for (const auto& it : std::exchange(early_updates_, {})) {
+        replica_.apply(it);
+    }
+}
+
 void control_link::on(
     absl::Time,
     const net::peer& from,
--- a/src/entry/control_link_priv.hpp
+++ b/src/entry/control_link_priv.hpp
@@ -56,6 +56,7 @@
     /// The control instance doesn't answer; the next one is asked.
     void lose_target(absl::Time now, std::vector<node_action>& out);
     void ask_peers(std::vector<node_action>& out);
+    void apply_early_updates();
     void
     on(absl::Time now,
        const net::peer& from,
@@ -85,6 +86,10 @@
     std::vector<core::endpoint> control_;
     std::vector<core::endpoint> named_;
     control::view_replica replica_;
+    /// From control instances that hadn't heard of a majority yet when this process
+    /// started. After a restart they may know less than what was acknowledged, so they
+    /// count only if no other state comes within the start window.
+    std::vector<control::update> early_updates_;
     bool draining_ = false;
     bool confirmed_ = false;
     bool is_lost_ = false; ///< No control instance has answered since one was lost.
--- a/tests/entry/start_hold_test.cpp
+++ b/tests/entry/start_hold_test.cpp
@@ -23,6 +23,7 @@
         auto options = entry_options();
         options.start_window = absl::Milliseconds(2500);
         options.start_hold = absl::Milliseconds(1200);
+        options.stale_state_limit = absl::Milliseconds(700);
         entry_ =
             std::make_unique<node>(options, control::make_compile_function(), metrics_);
         advance(absl::ZeroDuration());
@@ -41,13 +42,26 @@
 
     void request(std::uint64_t id) { handle(make_order(id)); }
 
-    void receive_state()
+    void receive_state(std::uint64_t revision = 1)
     {
         const auto contents = make_contents();
+        contents->revision = core::revision(revision);
         add_server(*contents, "s", server_at, "d", 4);
         handle(whole_state(contents));
     }
 
+    /// From a control instance that was just restarted and knows no majority: without the
+    /// route.
+    void receive_old_state(std::uint64_t revision)
+    {
+        const auto contents = make_contents();
+        contents->revision = core::revision(revision);
+        contents->settings.clear();
+        control::sync_response it{contents, contents->revision, {}, false};
+        it.age = absl::Hours(1);
+        handle(frame_with(it));
+    }
+
     std::map<std::uint64_t, int> outcomes;
 
 private:
@@ -92,6 +106,30 @@
     EXPECT_EQ(outcomes, (std::map<std::uint64_t, int>{{1, 503}}));
 }
 
+// Guards against an entry that starts with an old state, and answers 404 for routes that
+// were acknowledged since: control instances that restart together know only their last
+// snapshot until one of them leads.
+TEST_F(start_hold_test, state_from_before_the_start_of_control_is_not_used_at_once)
+{
+    receive_old_state(1);
+    request(1);
+    advance(absl::Milliseconds(500));
+    EXPECT_TRUE(outcomes.empty());
+    receive_state(2);
+    advance(absl::Milliseconds(20));
+    EXPECT_EQ(outcomes, (std::map<std::uint64_t, int>{{1, sent}}));
+}
+
+// Guards against an entry that doesn't serve because control stays away: an old state is
+// better than none.
+TEST_F(start_hold_test, old_state_is_used_when_the_start_is_over)
+{
+    receive_old_state(1);
+    advance(absl::Milliseconds(2600));
+    request(1);
+    EXPECT_EQ(outcomes, (std::map<std::uint64_t, int>{{1, 404}}));
+}
+
 // Guards against an entry that makes callers wait while control is away for long.
 TEST_F(start_hold_test, refuses_at_once_when_the_start_is_over)
 {
