--- a/src/daemon/body_limits_priv.hpp
+++ b/src/daemon/body_limits_priv.hpp
@@ -14,8 +14,8 @@
     std::uint64_t responses = http::client_options().max_held_response_bytes;
 };
 
-/// What a process with so much memory can hold; the defaults if that is 0. A body takes up
-/// to twice its size while it grows, and that of a request is copied to be sent.
+/// What a process with so much memory can hold; the defaults if that is 0. A body takes
+/// up to twice its size while it grows, and that of a request is copied to be sent.
 body_limits limits_for(std::uint32_t memory_mb);
 
 } // namespace cuminpitch::daemon
--- a/tests/control/sync_clients_test.cpp
+++ b/tests/control/sync_clients_test.cpp
@@ -38,6 +38,7 @@
         std::vector<node_action> out;
         clients.push(now, state, std::nullopt, out);
         std::vector<net::frame> frames;
+        frames.reserve(out.size());
         for (auto& it : out) {
             frames.push_back(std::get<action::send_frame>(it).message);
         }
--- a/tests/entry/start_hold_test.cpp
+++ b/tests/entry/start_hold_test.cpp
@@ -40,6 +40,7 @@
         handle(event::tick{});
     }
 
+    bool is_idle() const { return entry_->is_idle(); }
     void request(std::uint64_t id) { handle(make_order(id)); }
 
     void receive_state(std::uint64_t revision = 1)
@@ -130,6 +131,17 @@
     EXPECT_EQ(outcomes, (std::map<std::uint64_t, int>{{1, 404}}));
 }
 
+// Guards against an entry that looks after its requests only ten times a second.
+TEST_F(start_hold_test, entry_with_a_request_is_not_idle)
+{
+    EXPECT_FALSE(is_idle());
+    receive_state();
+    advance(absl::Milliseconds(20));
+    EXPECT_TRUE(is_idle());
+    request(1);
+    EXPECT_FALSE(is_idle());
+}
+
 // Guards against an entry that makes callers wait while control is away for long.
 TEST_F(start_hold_test, refuses_at_once_when_the_start_is_over)
 {
