One check for whether a response belongs to its request

The client's check at the headers repeated what the verdict on a whole response checks; both now ask expected_response::is_contradicted. An observation of an attempt is made in one place, and a second test for the leader's role is gone. A response with two different ids, or a success without proof that also says not run, is malformed in the verdict too, as the client had made it already.

--- a/include/cuminpitch/http/client.hpp
+++ b/include/cuminpitch/http/client.hpp
@@ -37,6 +37,11 @@
     std::string header; ///< Repeated by the server with `value`.
     std::string value;
     std::string success_proof; ///< Header of each response with a status of 2xx.
+
+    /// Whether a response with that status and these headers can't be the one. One that
+    /// lacks the header may be a refusal of a server that read only a part of the
+    /// request, unless it says success.
+    bool is_contradicted(int status, const headers& fields) const;
 };
 
 struct client_request
@@ -55,9 +60,7 @@
     /// not set, it counts as short, since a crash may look the same.
     bool accepts_close_delimited = false;
     std::uint64_t max_response_bytes = 8U << 20U;
-    /// A response that can't be this one is given up at the end of its headers. One that
-    /// lacks them may be a refusal of a server that read only a part of the request, and
-    /// is left to the caller unless it says success.
+    /// A response that can't be this one is given up at the end of its headers.
     expected_response expected;
 };
 
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -144,7 +144,7 @@
     }
 }
 
-/// As the leader.
+/// Only a leader has a controller.
 void node::impl::take_report(const sync_request& it)
 {
     if (controller_) {
@@ -200,10 +200,8 @@
 
 void node::impl::receive(const net::peer&, const relayed_report& it)
 {
-    if (is_leader()) {
-        take_report(it.report);
-        confirm_relayed(it.report);
-    }
+    take_report(it.report);
+    confirm_relayed(it.report);
 }
 
 void node::impl::send_hellos()
--- a/src/http/attempt.cpp
+++ b/src/http/attempt.cpp
@@ -18,7 +18,6 @@
 /// more with a size in several digits.
 constexpr std::uint64_t most_raw_bytes_per_byte = 16;
 constexpr long first_final_status = 200;
-constexpr long first_redirect = 300;
 
 bool has_body_by_rule(const std::string& method)
 {
@@ -186,36 +185,14 @@
         return;
     }
     is_final_ = true;
-    malformed_ = malformed_ || !may_be_expected(status);
+    malformed_ = malformed_ || request_.expected.is_contradicted(
+                                   static_cast<int>(status), response_.headers);
     if (response_.headers.has("Transfer-Encoding")) {
         // libcurl shows the bytes around chunks only to the debug function.
         curl_easy_setopt(easy_.get(), CURLOPT_VERBOSE, 1L);
     }
 }
 
-bool attempt::may_be_expected(long status) const
-{
-    const auto& expected = request_.expected;
-    const bool is_success = status < first_redirect;
-    if (is_success && !expected.success_proof.empty() &&
-        !response_.headers.has(expected.success_proof)) {
-        return false;
-    }
-    if (expected.header.empty()) {
-        return true;
-    }
-    bool is_repeated = false;
-    for (const auto& [name, value] : response_.headers.fields()) {
-        if (absl::EqualsIgnoreCase(name, expected.header)) {
-            if (value != expected.value) {
-                return false;
-            }
-            is_repeated = true;
-        }
-    }
-    return is_repeated || !is_success;
-}
-
 std::size_t attempt::take_body(char* data, std::size_t /*one*/, std::size_t n, void* self)
 {
     auto& it = *static_cast<attempt*>(self);
--- a/src/http/attempt_priv.hpp
+++ b/src/http/attempt_priv.hpp
@@ -51,7 +51,6 @@
     void add_headers();
     bool header_line(std::string line);
     void finish_head();
-    bool may_be_expected(long status) const;
     http::failure failure_of(CURLcode code) const;
     http::failure check_framing() const;
     void report(http::failure why);
--- /dev/null
+++ b/src/http/expected_response.cpp
@@ -0,0 +1,30 @@
+#include "cuminpitch/http/client.hpp"
+
+#include <absl/strings/match.h>
+
+namespace cuminpitch::http {
+
+bool expected_response::is_contradicted(int status, const headers& fields) const
+{
+    constexpr int first_success = 200;
+    constexpr int first_redirect = 300;
+    const bool is_success = status >= first_success && status < first_redirect;
+    if (is_success && !success_proof.empty() && !fields.has(success_proof)) {
+        return true;
+    }
+    if (header.empty()) {
+        return false;
+    }
+    bool is_repeated = false;
+    for (const auto& [name, repeated] : fields.fields()) {
+        if (absl::EqualsIgnoreCase(name, header)) {
+            if (repeated != value) {
+                return true;
+            }
+            is_repeated = true;
+        }
+    }
+    return is_success && !is_repeated;
+}
+
+} // namespace cuminpitch::http
--- a/src/request/dispatcher_attempts.cpp
+++ b/src/request/dispatcher_attempts.cpp
@@ -180,14 +180,11 @@
         result, it.attempt_limit, pool.service_time(), options_.dialect, it.correlation);
     explain_result(it, result, outcome);
     const bool is_told = it.is_overdue && result.failure == http::failure::timeout;
-    out_.emplace_back(observe{
-        {it.pool->id,
-         it.server,
-         it.route->id,
-         is_told ? observation::kind::none : outcome.evidence,
-         result.elapsed,
-         outcome.is_about_path,
-         outcome.is_misdirected}});
+    observation seen = seen_of(it, is_told ? observation::kind::none : outcome.evidence);
+    seen.duration = result.elapsed;
+    seen.is_about_path = outcome.is_about_path;
+    seen.is_misdirected = outcome.is_misdirected;
+    out_.emplace_back(observe{std::move(seen)});
     counters_.record("cuminpitch_attempt_seconds", result.elapsed, pool_label(it));
     if (outcome.evidence == observation::kind::success) {
         pool.count_service_time(result.elapsed);
--- a/src/request/messages.cpp
+++ b/src/request/messages.cpp
@@ -57,17 +57,25 @@
     if (!names.target_server.empty()) {
         out.headers.set(names.target_server, server.id.str());
     }
-    if (!names.correlation.empty() && !it.correlation.empty()) {
-        out.expected.header = names.correlation;
-        out.expected.value = it.correlation;
-    }
-    out.expected.success_proof = names.success_proof;
+    out.expected = expected_from_server(names, it.correlation);
     if (it.pool->every_entry) {
         out.connect_timeout = shared_pool_connect_timeout;
     }
     return out;
 }
 
+http::expected_response
+expected_from_server(const dialect& names, const std::string& correlation)
+{
+    http::expected_response out;
+    if (!correlation.empty()) {
+        out.header = names.correlation;
+        out.value = correlation;
+    }
+    out.success_proof = names.success_proof;
+    return out;
+}
+
 outgoing to_entry(
     const live_request& it,
     const entry_view& entry,
--- a/src/request/messages_priv.hpp
+++ b/src/request/messages_priv.hpp
@@ -17,6 +17,11 @@
     absl::Duration remaining,
     const dialect& names);
 
+/// What shows that a response of a backend server belongs to the request whose id is
+/// `correlation`, which may be empty.
+http::expected_response
+expected_from_server(const dialect& names, const std::string& correlation);
+
 /// The request as sent to another entry.
 outgoing to_entry(
     const live_request& it,
--- a/src/request/retry_filter.cpp
+++ b/src/request/retry_filter.cpp
@@ -1,6 +1,7 @@
 #include "retry_filter_priv.hpp"
 
 #include "header_rules_priv.hpp"
+#include "messages_priv.hpp"
 
 #include <absl/strings/numbers.h>
 
@@ -10,8 +11,6 @@
 namespace {
 
 constexpr int too_many_requests = 429;
-constexpr int first_success = 200;
-constexpr int first_redirect = 300;
 constexpr int request_timeout = 408;
 constexpr int misdirected_request = 421;
 constexpr int internal_error = 500;
@@ -44,22 +43,18 @@
 bool belongs(
     const http::client_result& it, const dialect& names, const std::string& correlation)
 {
-    if (names.correlation.empty() || correlation.empty()) {
-        return true;
+    const auto expected = expected_from_server(names, correlation);
+    if (expected.is_contradicted(it.response.status, it.response.headers)) {
+        return false;
     }
-    const std::string repeated = it.response.headers.get(names.correlation);
-    return repeated == correlation || (repeated.empty() && !it.reused_connection &&
-                                       says_not_run(it.response, names));
+    const bool is_named =
+        expected.header.empty() || it.response.headers.has(expected.header);
+    return is_named || (!it.reused_connection && says_not_run(it.response, names));
 }
 
 /// Why a complete response can't be passed on, if it can't.
 std::optional<refusal_reason> why_unusable(const http::response& it, const dialect& names)
 {
-    const bool is_success = it.status >= first_success && it.status < first_redirect;
-    if (is_success && !names.success_proof.empty() &&
-        !it.headers.has(names.success_proof)) {
-        return refusal_reason::malformed_response;
-    }
     const bool promises_not_run =
         it.status == request_timeout || it.status == misdirected_request ||
         it.status == too_many_requests || it.status == unavailable;
