Log the rate limits that servers name

Responses now are read for it: header Cuminpitch-Max-Rate, on the platform Server-Limit, as a strong type core::request_rate. The entry logs 'server rate limit named', 'ended' and 'malformed', the 'sent' line carries the limit and its age, and cuminpitch_rate_limited_servers and cuminpitch_malformed_rate_limits_total count them. The limit doesn't affect any decision yet.

overloaded moves from consensus to core, as the visitor of the statement needs it too.

--- a/src/consensus/overloaded_priv.hpp
+++ b/include/cuminpitch/core/overloaded.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-namespace cuminpitch::consensus {
+namespace cuminpitch::core {
 
 /// Visitor for std::visit() that is made of one lambda per alternative.
 template <class... Ts>
@@ -11,4 +11,4 @@
 template <class... Ts>
 overloaded(Ts...) -> overloaded<Ts...>;
 
-} // namespace cuminpitch::consensus
+} // namespace cuminpitch::core
--- a/include/cuminpitch/health/pool_health.hpp
+++ b/include/cuminpitch/health/pool_health.hpp
@@ -35,6 +35,7 @@
     core::server_id id;
     core::endpoint address;
     std::uint32_t slots = 0;
+    std::uint64_t incarnation = 0;
     /// Fraction of the slots to use, below 1 during a cold start and after a readmission.
     double ramp = 1;
     bool fresh = false;
--- a/include/cuminpitch/request/dialect.hpp
+++ b/include/cuminpitch/request/dialect.hpp
@@ -15,6 +15,9 @@
     /// enough.
     std::string not_run = "Cuminpitch-Run";
     std::string not_run_value = "not-run";
+    /// Response header by which a server names the requests per second that it accepts
+    /// from all entries together. It is in force for as long as responses carry it.
+    std::string max_rate = "Cuminpitch-Max-Rate";
     /// Request header that names the intended server. Any other server answers with
     /// `misdirected_status` and doesn't run the request. Not sent if empty.
     std::string target_server;
--- a/include/cuminpitch/request/events.hpp
+++ b/include/cuminpitch/request/events.hpp
@@ -6,6 +6,7 @@
 #include "cuminpitch/core/verdict.hpp"
 #include "cuminpitch/http/client.hpp"
 #include "cuminpitch/http/message.hpp"
+#include "cuminpitch/request/rate_statement.hpp"
 #include "cuminpitch/request/refusal_reason.hpp"
 #include "cuminpitch/telemetry/log.hpp"
 
@@ -13,6 +14,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -23,6 +25,13 @@
 /// Identifies one attempt to send a request. Never reused within a process.
 using attempt_id = core::integer_id<struct attempt_tag>;
 
+/// The rate limit that a server has named.
+struct server_limit
+{
+    core::request_rate rate; ///< Of all entries together.
+    absl::Duration age;      ///< Time since the response that named it.
+};
+
 /// A backend server and the limits within which this entry may use it now.
 struct server_view
 {
@@ -47,6 +56,9 @@
     /// lower for an idempotent request, which may find out whether the server has
     /// recovered.
     double suspicion = 0;
+    /// Start time of the server. Another one at the same id is another server.
+    std::uint64_t incarnation = 0;
+    std::optional<server_limit> limit;
 };
 
 /// An assigned entry of a pool, other than this one.
@@ -182,6 +194,8 @@
     bool may_be_path_failure = false;
     /// Another server answered at this server's address.
     bool is_misdirected = false;
+    /// What the response says about the server's rate limit.
+    rate_statement max_rate;
 };
 
 struct observe
--- a/src/consensus/bytes.cpp
+++ b/src/consensus/bytes.cpp
@@ -1,6 +1,6 @@
 #include "bytes_priv.hpp"
 
-#include "overloaded_priv.hpp"
+#include "cuminpitch/core/overloaded.hpp"
 
 namespace cuminpitch::consensus {
 namespace {
@@ -67,7 +67,7 @@
     put_u64(it.index.value());
     put_u64(it.term.value());
     std::visit(
-        overloaded{
+        core::overloaded{
             [&](const no_operation&) {
                 put_u8(static_cast<std::uint8_t>(payload_kind::no_operation));
             },
--- a/src/consensus/memory_storage.cpp
+++ b/src/consensus/memory_storage.cpp
@@ -1,6 +1,6 @@
 #include "cuminpitch/consensus/memory_storage.hpp"
 
-#include "overloaded_priv.hpp"
+#include "cuminpitch/core/overloaded.hpp"
 
 #include <algorithm>
 #include <variant>
@@ -19,7 +19,7 @@
     {
         for (std::size_t i = 0; i < count; ++i) {
             std::visit(
-                overloaded{
+                core::overloaded{
                     [&](hard_state& it) { durable.hard_state = std::move(it); },
                     [&](entry& it) { put(std::move(it)); }},
                 unsynced[i]);
--- a/src/consensus/replica_members.cpp
+++ b/src/consensus/replica_members.cpp
@@ -1,7 +1,5 @@
 #include "replica_priv.hpp"
 
-#include "overloaded_priv.hpp"
-
 namespace cuminpitch::consensus {
 
 core::result<proposal> replica::impl::change_members(const member_change& change)
--- a/src/consensus/storage.cpp
+++ b/src/consensus/storage.cpp
@@ -1,6 +1,6 @@
 #include "cuminpitch/consensus/storage.hpp"
 
-#include "overloaded_priv.hpp"
+#include "cuminpitch/core/overloaded.hpp"
 
 #include <algorithm>
 
@@ -16,7 +16,7 @@
 core::result<void> execute(storage& store, const action& to_execute)
 {
     return std::visit(
-        overloaded{
+        core::overloaded{
             [&](const write_hard_state& w) { return store.write(w); },
             [&](const write_entries& w) { return store.write(w); },
             [&](const write_snapshot& w) { return store.write(w); },
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -226,6 +226,11 @@
 
 void node::impl::run(request::observe& observed)
 {
+    limits_.observe(
+        now_, observed.what.pool, observed.what.server, observed.what.max_rate);
+    for (auto& it : limits_.take_log()) {
+        out_.emplace_back(std::move(it));
+    }
     if (const auto pool = shared_pools_.find(observed.what.pool);
         pool != shared_pools_.end()) {
         pool->second.observe(now_, observed.what);
--- a/src/entry/node_impl_priv.hpp
+++ b/src/entry/node_impl_priv.hpp
@@ -10,6 +10,7 @@
 #include "entry/entries_query_priv.hpp"
 #include "entry/failure_relay_priv.hpp"
 #include "entry/pool_runtime_priv.hpp"
+#include "entry/rate_limits_priv.hpp"
 #include "entry/shared_pool_priv.hpp"
 #include "entry/status_priv.hpp"
 
@@ -49,7 +50,7 @@
               dispatcher_options(options_),
               core::random_source(options_.seed + 1),
               metrics),
-          relay_(options_.self)
+          relay_(options_.self), limits_(metrics)
     {
     }
 
@@ -163,6 +164,8 @@
     void tick_shared_pools();
     void update_shared_pool(const config::pool_settings& declared);
     void update_dispatcher(const core::pool_id& pool);
+    /// Updates the dispatcher with the pool and the rate limits of its servers.
+    void update_dispatcher(request::pool_update update);
     void dispatch_waiting();
     void send_presence();
     void send_evidence();
@@ -189,6 +192,7 @@
     /// Other entries that serve requests, with the time of their last pool_evidence.
     absl::btree_map<core::endpoint, absl::Time> active_peers_;
     failure_relay relay_;
+    rate_limits limits_;
     /// Pools for which other entries have sent evidence since the last tick.
     absl::btree_set<core::pool_id> pools_with_evidence_;
     struct waiting_request
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -42,7 +42,7 @@
         for (auto& it : actions) {
             std::visit([&, &pool_id = id](auto& what) { run(pool_id, what); }, it);
         }
-        run_all(dispatcher_.update_pool(now_, pool->update(now_, *view_)));
+        update_dispatcher(pool->update(now_, *view_));
     }
 }
 
@@ -51,7 +51,7 @@
 void node::impl::update_if_without_servers(const core::pool_id& pool)
 {
     if (!dispatcher_.has_servers(pool)) {
-        run_all(dispatcher_.update_pool(now_, pools_.at(pool)->update(now_, *view_)));
+        update_dispatcher(pools_.at(pool)->update(now_, *view_));
     }
 }
 
@@ -151,8 +151,13 @@
 
 void node::impl::update_dispatcher(const core::pool_id& pool)
 {
-    const auto& it = shared_pools_.at(pool);
-    run_all(dispatcher_.update_pool(now_, it.update(now_)));
+    update_dispatcher(shared_pools_.at(pool).update(now_));
+}
+
+void node::impl::update_dispatcher(request::pool_update update)
+{
+    limits_.apply(now_, update);
+    run_all(dispatcher_.update_pool(now_, std::move(update)));
 }
 
 void node::impl::tick_shared_pools()
@@ -358,7 +363,7 @@
             pool->health().set_draining(condition_.is_draining);
         }
         pool->set_view(now_, *view_);
-        run_all(dispatcher_.update_pool(now_, pool->update(now_, *view_)));
+        update_dispatcher(pool->update(now_, *view_));
         return;
     }
     pools_.erase(declared.id);
@@ -368,7 +373,7 @@
     for (const auto& record : committed_entries(*view_, declared.id)) {
         update.entries.push_back({record.id, record.http, true});
     }
-    run_all(dispatcher_.update_pool(now_, std::move(update)));
+    update_dispatcher(std::move(update));
 }
 
 } // namespace cuminpitch::entry
--- a/src/entry/pool_runtime.cpp
+++ b/src/entry/pool_runtime.cpp
@@ -71,12 +71,13 @@
             continue;
         }
         const auto share = slot_share(server.slots, server.id, live, options_.self.id);
-        it.servers.push_back(
-            {server.id,
-             server.address,
-             apply_ramp(share, server.ramp),
-             server.suspected,
-             server.probation});
+        auto& view = it.servers.emplace_back();
+        view.id = server.id;
+        view.at = server.address;
+        view.slots = apply_ramp(share, server.ramp);
+        view.suspected = server.suspected;
+        view.probation = server.probation;
+        view.incarnation = server.incarnation;
     }
     for (const auto& record : usable_entries(now, view)) {
         if (record.id != options_.self.id) {
--- a/src/health/pool_health.cpp
+++ b/src/health/pool_health.cpp
@@ -455,7 +455,7 @@
                                        : this_pool.options.detector.suspected_score;
     std::vector<server_state> result;
     for (const auto& it : eligible) {
-        server_state state{it.id, it.address, it.slots, it.ramp, true};
+        server_state state{it.id, it.address, it.slots, it.incarnation, it.ramp, true};
         state.ejected = decision.ejected.contains(it.id);
         state.probation = decision.probation.contains(it.id);
         state.suspected =
--- a/src/request/attempt_outcome.cpp
+++ b/src/request/attempt_outcome.cpp
@@ -65,6 +65,16 @@
     return std::nullopt;
 }
 
+/// A refusal or a failure without the header may come from a part of the server that
+/// doesn't know its limit, so it doesn't end the limit.
+rate_statement stated_rate(const http::response& it, const dialect& names)
+{
+    const bool ends_limit = it.status < first_server_error && !says_not_run(it, names);
+    return it.headers.has(names.max_rate) || ends_limit
+               ? read_rate_statement(it.headers, names.max_rate)
+               : rate_unstated{};
+}
+
 attempt_outcome classify_response(const http::response& it, const dialect& names)
 {
     attempt_outcome out;
@@ -75,6 +85,7 @@
         out.is_misdirected = true;
         return out;
     }
+    out.max_rate = stated_rate(it, names);
     if (says_not_run(it, names)) {
         out.failure = refusal_reason::shed;
         out.verdict = core::verdict::not_run;
--- a/src/request/attempt_outcome_priv.hpp
+++ b/src/request/attempt_outcome_priv.hpp
@@ -22,6 +22,7 @@
     absl::Duration retry_after = absl::ZeroDuration();
     bool may_be_path_failure = false; ///< As in `observation`.
     bool is_misdirected = false;      ///< As in `observation`.
+    rate_statement max_rate;          ///< As in `observation`.
 };
 
 /// Classifies the result of an attempt. `service_time` is the pool's mean service time: a
--- a/src/request/dispatcher_attempts.cpp
+++ b/src/request/dispatcher_attempts.cpp
@@ -192,6 +192,7 @@
     seen.duration = result.elapsed;
     seen.may_be_path_failure = outcome.may_be_path_failure;
     seen.is_misdirected = outcome.is_misdirected;
+    seen.max_rate = outcome.max_rate;
     out_.emplace_back(observe{std::move(seen)});
     counters_.record("cuminpitch_attempt_seconds", result.elapsed, pool_label(it));
     if (outcome.evidence == observation::kind::success) {
--- a/src/request/dispatcher_responses.cpp
+++ b/src/request/dispatcher_responses.cpp
@@ -36,25 +36,29 @@
         return;
     }
     const pool_state& pool = *pool_of(it);
-    explain_decision(
-        it,
-        "sent",
-        {{"route", it.route->id.str()},
-         {"pool", it.pool->id.str()},
-         {"server", server.id.str()},
-         {"address", server.at.str()},
-         {"attempt", static_cast<std::int64_t>(it.tried.size() + 1)},
-         {"limit_ms", absl::ToInt64Milliseconds(it.attempt_timeout)},
-         {"waited_ms", absl::ToInt64Milliseconds(now_ - it.received)},
-         {"penalty", server.penalty},
-         {"suspicion", server.suspicion},
-         {"elsewhere", static_cast<std::int64_t>(server.remote_in_flight)},
-         {"far", server.in_other_domain},
-         {"preferred", server.is_preferred},
-         {"pool_in_flight", static_cast<std::int64_t>(pool.in_flight())},
-         {"servers", static_cast<std::int64_t>(pool.last_update().servers.size())},
-         {"known_for_ms", absl::ToInt64Milliseconds(now_ - entry_.confirmed)},
-         {"revision", static_cast<std::int64_t>(pool.last_update().revision.value())}});
+    std::vector<telemetry::field> inputs = {
+        {"route", it.route->id.str()},
+        {"pool", it.pool->id.str()},
+        {"server", server.id.str()},
+        {"address", server.at.str()},
+        {"attempt", static_cast<std::int64_t>(it.tried.size() + 1)},
+        {"limit_ms", absl::ToInt64Milliseconds(it.attempt_timeout)},
+        {"waited_ms", absl::ToInt64Milliseconds(now_ - it.received)},
+        {"penalty", server.penalty},
+        {"suspicion", server.suspicion},
+        {"elsewhere", static_cast<std::int64_t>(server.remote_in_flight)},
+        {"far", server.in_other_domain},
+        {"preferred", server.is_preferred},
+        {"pool_in_flight", static_cast<std::int64_t>(pool.in_flight())},
+        {"servers", static_cast<std::int64_t>(pool.last_update().servers.size())},
+        {"known_for_ms", absl::ToInt64Milliseconds(now_ - entry_.confirmed)},
+        {"revision", static_cast<std::int64_t>(pool.last_update().revision.value())}};
+    if (server.limit) {
+        inputs.push_back({"server_limit_per_s", server.limit->rate.per_second()});
+        inputs.push_back(
+            {"server_limit_age_ms", absl::ToInt64Milliseconds(server.limit->age)});
+    }
+    explain_decision(it, "sent", std::move(inputs));
 }
 
 void dispatcher::impl::explain_result(
