Move the simulated fleet of the load test to a file of its own

Tests of rate limits need the same fleet, with entries that restart, freeze or are cut off, and servers with headers of their own.

--- /dev/null
+++ b/tests/entry/simulated_fleet.hpp
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "fixture.hpp"
+
+#include "cuminpitch/core/random.hpp"
+#include "cuminpitch/entry/node.hpp"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cuminpitch::entry {
+
+struct fleet_shape
+{
+    std::size_t entries = 52;
+    std::size_t domains = 2;
+    std::uint32_t servers = 170;
+    std::uint32_t slots = 6;
+    /// Slots of the first server, if not 0.
+    std::uint32_t first_server_slots = 0;
+    absl::Duration mean_service_time = absl::Milliseconds(700);
+    std::uint64_t seed = 0;
+};
+
+/// Entries of one fleet, all started at the same time, with simulated network and
+/// servers. Entries and servers are split evenly between the failure domains.
+class simulated_fleet
+{
+public:
+    static constexpr absl::Duration network_delay = absl::Milliseconds(2);
+    static constexpr absl::Duration tick_interval = absl::Milliseconds(20);
+
+    explicit simulated_fleet(const fleet_shape& shape);
+    virtual ~simulated_fleet() = default;
+
+    absl::Time now() const { return now_; }
+    const fleet_shape& shape() const { return shape_; }
+    static core::endpoint server_at(std::size_t index);
+
+    /// Sends `requests` requests in `time`, evenly spaced, to each of the first `active`
+    /// entries in turn (all entries if 0).
+    void run_load(std::size_t requests, absl::Duration time, std::size_t active = 0);
+    void advance(absl::Time until);
+    void send(std::size_t entry);
+
+    /// Replaces the process of the entry by a new one, without the state of the old one.
+    void restart(std::size_t entry);
+    /// Suspends the entry. Its clock goes on, and its input is handled when it resumes.
+    void freeze(std::size_t entry);
+    void resume(std::size_t entry);
+    /// Cuts the entry off from all other entries, but not from the servers.
+    void cut(std::size_t entry) { cut_.insert(entry); }
+    void heal(std::size_t entry) { cut_.erase(entry); }
+    bool is_disturbed(std::size_t entry) const
+    {
+        return frozen_.contains(entry) || cut_.contains(entry);
+    }
+
+    struct arrival_at_server
+    {
+        absl::Time at;
+        std::size_t entry = 0;
+    };
+    const std::vector<arrival_at_server>& arrivals_at(const core::endpoint& server)
+    {
+        return arrivals_by_server_[server];
+    }
+    /// Bytes of the messages between entries since the start, and their number.
+    std::uint64_t bytes_sent() const { return bytes_sent_; }
+    std::uint64_t messages_sent() const { return messages_sent_; }
+
+    struct response
+    {
+        int status = 0;
+        absl::Duration after;
+        std::string reason;
+        std::string retry_after;
+    };
+    /// Responses to callers, in their order.
+    const std::vector<response>& responses() const { return responses_; }
+
+    std::size_t sent_to_full() const { return sent_to_full_; }
+
+protected:
+    /// What an entry gets for a request that has reached the server.
+    virtual http::client_result serve(const core::endpoint& server);
+    /// Headers of a response of the server.
+    virtual http::headers response_headers(const core::endpoint&) { return {}; }
+
+    core::random_source random_;
+
+private:
+    struct input
+    {
+        std::size_t entry = 0;
+        std::uint64_t process = 0; ///< Input of a process that has ended is dropped.
+        node_event what;
+    };
+
+    control::entry_record record_of(std::size_t index) const;
+    std::string domain_of(std::size_t index) const;
+    void start(std::size_t entry);
+    absl::Time next_input() const;
+    void handle(std::size_t entry, node_event what);
+    void run(std::size_t entry, const action::start_call& call);
+    std::uint32_t slots_of(std::size_t server) const;
+    absl::Duration response_time(const core::endpoint& server);
+    void deliver(std::size_t from, action::send_frame& sent);
+
+    fleet_shape shape_;
+    telemetry::metrics metrics_;
+    std::shared_ptr<const control::fleet_contents> contents_;
+    std::vector<std::unique_ptr<node>> fleet_;
+    std::vector<std::uint64_t> processes_;
+    absl::flat_hash_map<std::string, std::size_t> by_host_;
+    std::multimap<absl::Time, input> inputs_;
+    std::set<std::size_t> cut_;
+    std::map<std::size_t, std::deque<node_event>> frozen_;
+    std::map<core::endpoint, std::vector<absl::Time>> completions_;
+    std::map<core::endpoint, std::vector<arrival_at_server>> arrivals_by_server_;
+    std::map<core::request_id, absl::Time> open_;
+    std::vector<response> responses_;
+    std::uint64_t bytes_sent_ = 0;
+    std::uint64_t messages_sent_ = 0;
+    std::size_t sent_to_full_ = 0;
+    absl::Time now_ = absl::FromUnixSeconds(1000);
+    absl::Time next_tick_ = now_ + tick_interval;
+    std::uint64_t last_request_ = 0;
+    std::uint64_t last_process_ = 1'700'000'000'000'000;
+};
+
+} // namespace cuminpitch::entry
