Bound the rate of a limit that has ended

Read in review: an owner that is told of a limit that ended long ago would raise the rate by 2^(age/0.5 s), which overflows the number of permits.

--- a/src/entry/rate_limits.cpp
+++ b/src/entry/rate_limits.cpp
@@ -98,9 +98,12 @@
 core::request_rate rate_limits::allowed_rate(absl::Time now, const record& it) const
 {
     const auto rate = std::max(it.limit, min_rate);
-    return it.phase == rate_phase::ending
-               ? rate * std::exp2(absl::FDivDuration(now - it.stated, ramp_doubling_time))
-               : rate;
+    if (it.phase != rate_phase::ending) {
+        return rate;
+    }
+    const auto raised =
+        rate * std::exp2(absl::FDivDuration(now - it.stated, ramp_doubling_time));
+    return std::min(raised, std::max(rate, max_ramp_rate));
 }
 
 core::request_rate
--- a/tests/entry/rate_limits_test.cpp
+++ b/tests/entry/rate_limits_test.cpp
@@ -127,6 +127,21 @@
             self->tick(now);
         }
     }
+    /// Requests that permits allow in 10 s, while there is one for the server at any
+    /// time.
+    std::uint32_t sent_in_10_s()
+    {
+        std::uint32_t out = 0;
+        for (int n = 0; n < 500; ++n) {
+            self->want(now, pool, server_s, 1);
+            advance(absl::Milliseconds(20));
+            if (permits() > 0) {
+                ++out;
+                self->count_sent(now, pool, server_s);
+            }
+        }
+        return out;
+    }
     template <class T>
     std::vector<std::pair<core::endpoint, T>> sent()
     {
@@ -284,15 +299,7 @@
     ASSERT_EQ(requests.size(), 1U);
     EXPECT_EQ(requests[0].first, owners[1].internal);
     // This entry is the third owner. It grants itself a quarter of the rate.
-    std::uint32_t granted = 0;
-    for (int n = 0; n < 500; ++n) {
-        self->want(now, pool, server_s, 1);
-        advance(absl::Milliseconds(20));
-        if (permits() > 0) {
-            ++granted;
-            self->count_sent(now, pool, server_s);
-        }
-    }
+    const auto granted = sent_in_10_s();
     EXPECT_GE(granted, 5U);
     EXPECT_LE(granted, 8U);
 }
@@ -312,15 +319,7 @@
     self->set_entries(all);
     list(1);
     say(core::request_rate(30));
-    std::uint32_t sent_requests = 0;
-    for (int n = 0; n < 500; ++n) {
-        self->want(now, pool, server_s, 1);
-        advance(absl::Milliseconds(20));
-        if (permits() > 0) {
-            ++sent_requests;
-            self->count_sent(now, pool, server_s);
-        }
-    }
+    const auto sent_requests = sent_in_10_s();
     EXPECT_GE(sent_requests, 6U);
     EXPECT_LE(sent_requests, 10U);
 }
@@ -344,5 +343,22 @@
     EXPECT_TRUE(responses[0].second.is_redirect);
 }
 
+// Guards against a rate without bound, to which a limit that ended long ago is raised.
+TEST_F(permits_test, ended_limit_has_a_bounded_rate)
+{
+    become(0);
+    const auto known = state(2, control::rate_phase::ending, absl::Hours(1));
+    for (int n = 0; n < 2; ++n) {
+        now += absl::Milliseconds(300);
+        self->receive(now, peer(1), control::permit_request{known, 1'000'000, now});
+    }
+    std::uint32_t granted = 0;
+    for (const auto& [to, it] : sent<control::permit_response>()) {
+        granted += it.granted;
+    }
+    EXPECT_GE(granted, 1U);
+    EXPECT_LE(granted, 100U);
+}
+
 } // namespace
 } // namespace cuminpitch::entry
