Look only at rate-limited pools in each tick of the dispatcher

Each tick went through all pools for queued requests that wait for permits. An entry of the planned size knows 3,200 pools and ticks 50 times a second, which would be 160,000 pools a second for nothing; now only pools of which all servers are limited are kept in a set.

Measured: request_test without the live tests and the tests of limits in entry_test pass; the processor time was not measured.

--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -42,6 +42,11 @@
     }
     removed_.erase(id);
     pool->update(std::move(it));
+    if (pool->is_rate_limited()) {
+        rate_limited_pools_.insert(id);
+    } else {
+        rate_limited_pools_.erase(id);
+    }
     if (pool->last_update().is_assigned) {
         dispatch_queued(*pool);
         return std::move(out_);
@@ -72,6 +77,7 @@
     nothing.pool = id;
     found->second->update(std::move(nothing));
     removed_.insert(id);
+    rate_limited_pools_.erase(id);
     erase_removed(id);
     return std::move(out_);
 }
@@ -325,10 +331,8 @@
 
 void dispatcher::impl::on(const tick& /*it*/)
 {
-    for (auto& [id, pool] : pools_) {
-        if (pool->queue().size() > 0 && pool->is_rate_limited()) {
-            dispatch_queued(*pool);
-        }
+    for (const auto& id : rate_limited_pools_) {
+        dispatch_queued(*pools_.at(id));
     }
     while (!timers_.empty() && timers_.begin()->first <= now_) {
         live_request& it = *live_.at(timers_.begin()->second);
--- a/src/request/dispatcher_impl_priv.hpp
+++ b/src/request/dispatcher_impl_priv.hpp
@@ -113,6 +113,9 @@
     entry_state entry_;
     absl::flat_hash_map<core::pool_id, std::unique_ptr<pool_state>> pools_;
     absl::flat_hash_set<core::pool_id> removed_;
+    /// Pools of which all servers have rate limits. Their queued requests are looked at
+    /// in each tick, as permits expire and requests for permits are repeated.
+    absl::flat_hash_set<core::pool_id> rate_limited_pools_;
     absl::btree_map<core::team_id, std::size_t> pools_of_team_;
     team_shares teams_;
 
