Log how connections fail and who reported failures

Change: `attempt failed` says whether the attempt to connect timed out; an entry logs each report of failures that it sends, and counts the failures sent and received. No decision changes.

--- a/src/entry/node_impl_priv.hpp
+++ b/src/entry/node_impl_priv.hpp
@@ -179,6 +179,8 @@
     /// affected.
     void flush_limits();
     void send_evidence();
+    /// Counts failures of servers that were sent to other entries or received from them.
+    void count_reports(const control::pool_evidence& evidence, const char* direction);
     void relay_failures();
     void send_occupancy();
     std::vector<core::endpoint> domain_peers() const;
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -258,6 +258,11 @@
         if (!evidence) {
             continue;
         }
+        count_reports(*evidence, "sent");
+        log(telemetry::severity::info,
+            "failures reported",
+            {{"pool", id.str()},
+             {"servers", static_cast<std::int64_t>(evidence->failures.size())}});
         const auto relay_targets = relay_.relay_targets(view_->entries);
         absl::btree_map<core::failure_domain_id, control::pool_evidence> by_domain;
         for (const auto& [entry, record] : view_->entries) {
@@ -283,6 +288,19 @@
     }
 }
 
+void node::impl::count_reports(
+    const control::pool_evidence& evidence, const char* direction)
+{
+    std::uint64_t failures = 0;
+    for (const auto& it : evidence.failures) {
+        failures += it.count;
+    }
+    metrics_.add(
+        "cuminpitch_failure_reports_total",
+        {{"pool", evidence.pool.str()}, {"direction", direction}},
+        failures);
+}
+
 /// Internal endpoints of the other entries in this failure domain.
 std::vector<core::endpoint> node::impl::domain_peers() const
 {
@@ -350,6 +368,7 @@
         (evidence.failures.empty() && !evidence.in_flight)) {
         return;
     }
+    count_reports(evidence, "received");
     pool->second.receive(now_, from.internal, evidence);
     pools_with_evidence_.insert(evidence.pool);
     if (const auto sender = view_->entries.find(from.id);
--- a/src/request/dispatcher_responses.cpp
+++ b/src/request/dispatcher_responses.cpp
@@ -79,7 +79,8 @@
          {"status", status_or_zero(result)},
          {"verdict", std::string(core::to_string(outcome.verdict))},
          {"elapsed_ms", absl::ToInt64Milliseconds(result.elapsed)},
-         {"new_connection", !result.reused_connection}});
+         {"new_connection", !result.reused_connection},
+         {"connect_timed_out", result.connect_timed_out}});
 }
 
 /// Ends a request that can't be sent (again): with the failure response of an earlier
