--- a/tests/entry/simulated_fleet.cpp
+++ b/tests/entry/simulated_fleet.cpp
@@ -14,12 +14,29 @@
     return absl::StrCat("10.1.", index / 256, ".", index % 256);
 }
 
+/// Header of each request, by which executions are counted.
+constexpr const char* key_header = "Key";
+/// A server that accepts no connections refuses one after this time.
+constexpr absl::Duration refusal_time = absl::Milliseconds(1);
+
+http::client_result failed(http::failure why, core::verdict verdict)
+{
+    http::client_result out;
+    out.failure = why;
+    out.verdict = verdict;
+    return out;
+}
+
 } // namespace
 
 simulated_fleet::simulated_fleet(const fleet_shape& shape)
     : random_(shape.seed + 1), shape_(shape)
 {
     const auto contents = make_contents();
+    contents->settings["teams/t/routes/read/host"] = "\"h\"";
+    contents->settings["teams/t/routes/read/path_prefix"] = "\"/read\"";
+    contents->settings["teams/t/routes/read/pool"] = "\"p\"";
+    contents->settings["teams/t/routes/read/idempotent"] = "true";
     for (std::size_t n = 0; n < shape_.entries; ++n) {
         contents->entries[record_of(n).id] = {record_of(n), 1};
         by_host_[host_of(n)] = n;
@@ -76,6 +93,7 @@
     options.seed = start_seed(options.self.id, options.incarnation + shape_.seed);
     // There is no control instance that the entries could hear from.
     options.isolation_timeout = absl::InfiniteDuration();
+    drop_calls(entry);
     processes_[entry] = last_process_;
     fleet_[entry] =
         std::make_unique<node>(options, control::make_compile_function(), metrics_);
@@ -90,6 +108,29 @@
     start(entry);
 }
 
+/// Ends the calls from and to a process that has ended.
+void simulated_fleet::drop_calls(std::size_t entry)
+{
+    std::erase_if(calls_, [&](const auto& it) {
+        const bool is_own = it.first.first == entry;
+        if (is_own) {
+            inputs_.erase(it.second.result);
+        }
+        return is_own;
+    });
+    for (auto& [id, request] : open_) {
+        if (request.entry == entry && request.hop && calls_.contains(*request.hop)) {
+            inputs_.erase(calls_.at(*request.hop).result);
+            schedule(
+                request.hop->first,
+                request.hop->second,
+                network_delay,
+                failed(http::failure::reset, core::verdict::may_have_run));
+        }
+    }
+    std::erase_if(open_, [&](const auto& it) { return it.second.entry == entry; });
+}
+
 void simulated_fleet::freeze(std::size_t entry)
 {
     frozen_[entry];
@@ -120,11 +161,72 @@
     advance(begin + time);
 }
 
-void simulated_fleet::send(std::size_t entry)
+void simulated_fleet::send(std::size_t entry, bool is_idempotent)
 {
-    auto made = make_request(++last_request_);
-    open_[made.id] = now_;
-    handle(entry, std::move(made));
+    const core::request_id id(++last_request_);
+    auto message = std::make_shared<http::request>();
+    message->method = is_idempotent ? "GET" : "POST";
+    message->target = message->path = is_idempotent ? "/read" : "/x";
+    message->headers.add("Host", "h");
+    message->headers.add(key_header, absl::StrCat(last_request_));
+    if (shape_.deadline > absl::ZeroDuration()) {
+        message->headers.add(
+            "Cuminpitch-Deadline-Ms",
+            absl::StrCat(absl::ToInt64Milliseconds(shape_.deadline)));
+    }
+    open_[id] = {now_, entry, is_idempotent, absl::StrCat(last_request_), std::nullopt};
+    handle(entry, event::http_request{id, std::move(message)});
+}
+
+void simulated_fleet::cut_links(std::size_t entry, link_fault fault)
+{
+    link_faults_[entry] = fault;
+    for (auto& [key, it] : calls_) {
+        if (key.first != entry || by_host_.contains(it.to.host)) {
+            continue;
+        }
+        if (fault == link_fault::reset) {
+            inputs_.erase(it.result);
+            schedule(
+                entry,
+                key.second,
+                refusal_time,
+                failed(http::failure::reset, core::verdict::may_have_run));
+        } else if (fault == link_fault::dropped) {
+            it.held_up = std::get<event::call_finished>(it.result->second.what).result;
+            inputs_.erase(it.result);
+            schedule(
+                entry,
+                key.second,
+                it.began + it.timeout - now_,
+                failed(http::failure::timeout, core::verdict::may_have_run));
+        }
+    }
+}
+
+void simulated_fleet::restore_links(std::size_t entry)
+{
+    link_faults_.erase(entry);
+    std::erase_if(idle_connections_, [&](const auto& it) { return it.first == entry; });
+    constexpr absl::Duration retransmission_time = absl::Milliseconds(200);
+    for (auto& [key, it] : calls_) {
+        if (key.first == entry && it.held_up) {
+            inputs_.erase(it.result);
+            auto result = *std::exchange(it.held_up, std::nullopt);
+            schedule(entry, key.second, retransmission_time, std::move(result));
+        }
+    }
+}
+
+void simulated_fleet::schedule(
+    std::size_t entry, call_id call, absl::Duration after, http::client_result result)
+{
+    auto& it = calls_.at({entry, call});
+    const auto at = now_ + std::max(after, absl::ZeroDuration());
+    result.elapsed = at - it.began;
+    it.result = inputs_.emplace(
+        at,
+        input{entry, processes_[entry], event::call_finished{call, std::move(result)}});
 }
 
 void simulated_fleet::advance(absl::Time until)
@@ -141,6 +243,10 @@
         } else {
             auto first = inputs_.extract(inputs_.begin());
             now_ = first.key();
+            if (const auto* done =
+                    std::get_if<event::call_finished>(&first.mapped().what)) {
+                calls_.erase({first.mapped().entry, done->call});
+            }
             if (first.mapped().process == processes_[first.mapped().entry]) {
                 handle(first.mapped().entry, std::move(first.mapped().what));
             }
@@ -165,33 +271,139 @@
             run(entry, *call);
         } else if (auto* sent = std::get_if<action::send_frame>(&it)) {
             deliver(entry, *sent);
+        } else if (auto* cancelled = std::get_if<action::cancel_call>(&it)) {
+            cancel(entry, cancelled->call);
         } else if (auto* responded = std::get_if<action::http_respond>(&it)) {
-            const auto found = open_.find(responded->id);
-            if (found != open_.end()) {
-                const auto& fields = responded->response.headers;
-                responses_.push_back(
-                    {responded->response.status,
-                     now_ - found->second,
-                     fields.get("Cuminpitch-Reason"),
-                     fields.get("Retry-After")});
-                open_.erase(found);
-            }
+            respond(*responded);
         }
     }
 }
 
+void simulated_fleet::respond(const action::http_respond& responded)
+{
+    const auto found = open_.find(responded.id);
+    if (found == open_.end()) {
+        return;
+    }
+    const auto request = found->second;
+    open_.erase(found);
+    if (!request.hop) {
+        const auto& fields = responded.response.headers;
+        responses_.push_back(
+            {responded.response.status,
+             now_ - request.sent,
+             fields.get("Cuminpitch-Reason"),
+             fields.get("Retry-After"),
+             request.entry,
+             request.is_idempotent,
+             fields.get("Cuminpitch-Verdict"),
+             request.key,
+             request.sent});
+    } else if (const auto call = calls_.find(*request.hop); call != calls_.end()) {
+        inputs_.erase(call->second.result);
+        http::client_result result;
+        result.verdict = core::verdict::ran;
+        result.response = responded.response;
+        schedule(call->first.first, call->first.second, network_delay, std::move(result));
+    }
+}
+
 void simulated_fleet::run(std::size_t entry, const action::start_call& call)
 {
-    const auto& to = call.request.to;
-    arrivals_by_server_[to].push_back({now_, entry});
-    auto result = serve(to);
-    const auto at = now_ + result.elapsed;
+    const auto& request = call.request;
+    calls_[{entry, call.call}] = {
+        request.to, now_, request.timeout, true, inputs_.end(), {}};
+    if (const auto to = by_host_.find(request.to.host); to != by_host_.end()) {
+        run_hop(entry, to->second, call);
+        return;
+    }
+    const bool is_reused =
+        !request.fresh_connection && idle_connections_.contains({entry, request.to});
+    if (const auto fault = link_faults_.find(entry); fault != link_faults_.end()) {
+        const bool is_dropped = fault->second == link_fault::dropped;
+        if (is_reused && fault->second != link_fault::refused) {
+            idle_connections_.erase({entry, request.to});
+            schedule(
+                entry,
+                call.call,
+                is_dropped ? request.timeout : refusal_time,
+                failed(
+                    is_dropped ? http::failure::timeout : http::failure::reset,
+                    core::verdict::may_have_run));
+            return;
+        }
+        if (!is_reused) {
+            auto result = failed(http::failure::connect, core::verdict::not_run);
+            result.connect_timed_out = is_dropped;
+            schedule(
+                entry,
+                call.call,
+                is_dropped ? request.connect_timeout : refusal_time,
+                std::move(result));
+            return;
+        }
+    }
+    arrivals_by_server_[request.to].push_back({now_, entry});
+    auto result = serve(request.to);
+    result.reused_connection = is_reused;
+    if (result.verdict == core::verdict::ran && request.headers.has(key_header)) {
+        ++executions_[request.headers.get(key_header)];
+    }
+    if (result.failure == http::failure::none) {
+        idle_connections_.insert({entry, request.to});
+    } else {
+        idle_connections_.erase({entry, request.to});
+    }
+    const auto after = result.elapsed;
+    schedule(entry, call.call, after, std::move(result));
+}
+
+void simulated_fleet::run_hop(
+    std::size_t entry, std::size_t to, const action::start_call& call)
+{
+    ++hops_;
+    const auto& request = call.request;
+    if (cut_.contains(entry) || cut_.contains(to)) {
+        auto result = failed(http::failure::connect, core::verdict::not_run);
+        result.connect_timed_out = true;
+        schedule(entry, call.call, request.connect_timeout, std::move(result));
+        return;
+    }
+    schedule(
+        entry,
+        call.call,
+        request.timeout,
+        failed(http::failure::timeout, core::verdict::may_have_run));
+    auto message = std::make_shared<http::request>();
+    message->method = request.method;
+    message->target = message->path = request.target;
+    message->headers = request.headers;
+    message->body = request.body;
+    const core::request_id id(++last_request_);
+    open_[id] = {now_, to, false, {}, call_key{entry, call.call}};
     inputs_.emplace(
-        at,
-        input{
-            entry,
-            processes_[entry],
-            event::call_finished{call.call, std::move(result)}});
+        now_ + network_delay,
+        input{to, processes_[to], event::http_request{id, std::move(message)}});
+}
+
+void simulated_fleet::cancel(std::size_t entry, call_id call)
+{
+    const call_key key{entry, call};
+    const auto found = calls_.find(key);
+    if (found == calls_.end()) {
+        return;
+    }
+    inputs_.erase(found->second.result);
+    calls_.erase(found);
+    const auto hop = std::find_if(
+        open_.begin(), open_.end(), [&](const auto& it) { return it.second.hop == key; });
+    if (hop != open_.end()) {
+        const auto to = hop->second.entry;
+        inputs_.emplace(
+            now_ + network_delay,
+            input{to, processes_[to], event::caller_gone{hop->first}});
+        open_.erase(hop);
+    }
 }
 
 http::client_result simulated_fleet::serve(const core::endpoint& server)
--- a/tests/entry/simulated_fleet.hpp
+++ b/tests/entry/simulated_fleet.hpp
@@ -28,9 +28,19 @@
     /// Slots of the first server, if not 0.
     std::uint32_t first_server_slots = 0;
     absl::Duration mean_service_time = absl::Milliseconds(700);
+    /// Time that callers wait. Not stated in the requests if 0.
+    absl::Duration deadline;
     std::uint64_t seed = 0;
 };
 
+/// How the links of an entry to all servers fail.
+enum class link_fault
+{
+    dropped, ///< Packets are dropped, so connections hang.
+    reset,   ///< Open connections are reset and new ones refused.
+    refused, ///< New connections are refused; open ones go on.
+};
+
 /// Entries of one fleet, all started at the same time, with simulated network and
 /// servers. Entries and servers are split evenly between the failure domains.
 class simulated_fleet
@@ -50,7 +60,7 @@
     /// entries in turn (all entries if 0).
     void run_load(std::size_t requests, absl::Duration time, std::size_t active = 0);
     void advance(absl::Time until);
-    void send(std::size_t entry);
+    void send(std::size_t entry, bool is_idempotent = false);
 
     /// Replaces the process of the entry by a new one, without the state of the old one.
     void restart(std::size_t entry);
@@ -60,6 +70,10 @@
     /// Cuts the entry off from all other entries, but not from the servers.
     void cut(std::size_t entry) { cut_.insert(entry); }
     void heal(std::size_t entry) { cut_.erase(entry); }
+    /// Cuts the entry off from all servers, but not from callers or other entries.
+    void cut_links(std::size_t entry, link_fault fault);
+    void restore_links(std::size_t entry);
+    bool has_links(std::size_t entry) const { return !link_faults_.contains(entry); }
     bool is_disturbed(std::size_t entry) const
     {
         return frozen_.contains(entry) || cut_.contains(entry);
@@ -80,9 +94,17 @@
         absl::Duration after;
         std::string reason;
         std::string retry_after;
+        std::size_t entry = 0;
+        bool is_idempotent = false;
+        std::string verdict;
+        std::string request; ///< Key of `executions()`.
+        absl::Time sent;
     };
     /// Responses to callers, in their order.
     const std::vector<response>& responses() const { return responses_; }
+    /// How often servers ran each request.
+    const std::map<std::string, std::size_t>& executions() const { return executions_; }
+    std::size_t hops() const { return hops_; }
 
     /// Counters of all entries together.
     const telemetry::metrics& metrics() const { return metrics_; }
@@ -104,8 +126,39 @@
         node_event what;
     };
 
+    /// A call of an entry that has no result yet.
+    struct open_call
+    {
+        core::endpoint to;
+        absl::Time began;
+        absl::Duration timeout;
+        bool is_sent = true; ///< False while the attempt to connect hangs.
+        /// Scheduled result. The end if the target is another entry that hasn't answered.
+        std::multimap<absl::Time, input>::iterator result;
+        /// Result that dropped packets hold up.
+        std::optional<http::client_result> held_up;
+    };
+    using call_key = std::pair<std::size_t, call_id>;
+    struct caller_request
+    {
+        absl::Time sent;
+        std::size_t entry = 0;
+        bool is_idempotent = false;
+        std::string key;
+        std::optional<call_key> hop; ///< Set if another entry sent the request.
+    };
+
     control::entry_record record_of(std::size_t index) const;
     std::string domain_of(std::size_t index) const;
+    void run_hop(std::size_t entry, std::size_t to, const action::start_call& call);
+    void schedule(
+        std::size_t entry,
+        call_id call,
+        absl::Duration after,
+        http::client_result result);
+    void cancel(std::size_t entry, call_id call);
+    void drop_calls(std::size_t entry);
+    void respond(const action::http_respond& responded);
     void start(std::size_t entry);
     absl::Time next_input() const;
     void handle(std::size_t entry, node_event what);
@@ -125,7 +178,13 @@
     std::map<std::size_t, std::deque<node_event>> frozen_;
     std::map<core::endpoint, std::vector<absl::Time>> completions_;
     std::map<core::endpoint, std::vector<arrival_at_server>> arrivals_by_server_;
-    std::map<core::request_id, absl::Time> open_;
+    std::map<core::request_id, caller_request> open_;
+    std::map<call_key, open_call> calls_;
+    std::map<std::size_t, link_fault> link_faults_;
+    /// Entries and servers with an idle connection between them.
+    std::set<std::pair<std::size_t, core::endpoint>> idle_connections_;
+    std::map<std::string, std::size_t> executions_;
+    std::size_t hops_ = 0;
     std::vector<response> responses_;
     std::size_t sent_to_full_ = 0;
     absl::Time now_ = absl::FromUnixSeconds(1000);
--- /dev/null
+++ b/tests/entry/stranded_fleet_test.cpp
@@ -0,0 +1,281 @@
+// Some entries of a simulated fleet lose their links to all servers, while callers and
+// the other entries still reach them. The tests judge what callers get.
+
+#include "simulated_fleet.hpp"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <ostream>
+#include <set>
+
+namespace cuminpitch::entry {
+namespace {
+
+constexpr absl::Duration warm_up = absl::Seconds(3);
+/// Callers have their responses after this time.
+constexpr absl::Duration drain_time = absl::Seconds(3);
+/// Callers are owed service again from this time after a cut.
+constexpr absl::Duration liveness = absl::Seconds(3);
+
+std::uint64_t seeds(std::uint64_t usual)
+{
+    const char* text = std::getenv("CUMINPITCH_SEEDS");
+    std::uint64_t out = 0;
+    return text != nullptr && absl::SimpleAtoi(text, &out) ? out : usual;
+}
+
+/// Served and all requests.
+struct tally
+{
+    std::size_t served = 0;
+    std::size_t all = 0;
+
+    double share() const
+    {
+        return all == 0 ? 1 : static_cast<double>(served) / static_cast<double>(all);
+    }
+    friend std::ostream& operator<<(std::ostream& to, const tally& it)
+    {
+        return to << it.served << " of " << it.all;
+    }
+};
+
+/// A fleet of which some servers have gray failures.
+class stranded_fleet : public simulated_fleet
+{
+public:
+    explicit stranded_fleet(const fleet_shape& shape) : simulated_fleet(shape) {}
+
+    void run(absl::Duration time)
+    {
+        constexpr double utilization = 0.45;
+        const auto requests = static_cast<std::size_t>(
+            utilization * shape().slots * shape().servers *
+            absl::FDivDuration(time, shape().mean_service_time));
+        const auto begin = now();
+        for (std::size_t n = 0; n < requests; ++n) {
+            advance(begin + time * n / requests);
+            send(random_() % shape().entries, n % 3 == 0);
+            ++sent_;
+        }
+        advance(begin + time);
+    }
+    void cut(const std::set<std::size_t>& entries, link_fault fault)
+    {
+        for (const auto it : entries) {
+            cut_links(it, fault);
+        }
+    }
+    void restore(const std::set<std::size_t>& entries)
+    {
+        for (const auto it : entries) {
+            restore_links(it);
+        }
+    }
+    std::set<std::size_t> choose(double fraction)
+    {
+        const auto n =
+            static_cast<std::size_t>(fraction * static_cast<double>(shape().entries));
+        std::set<std::size_t> out;
+        while (out.size() < n) {
+            out.insert(random_() % shape().entries);
+        }
+        return out;
+    }
+    std::set<std::size_t> first_domain() const
+    {
+        std::set<std::size_t> out;
+        for (std::size_t n = 0; n < shape().entries; n += shape().domains) {
+            out.insert(n);
+        }
+        return out;
+    }
+    /// Requests sent in this time to the entries in `at`, or to the others.
+    tally
+    count(absl::Time begin, absl::Time end, const std::set<std::size_t>& at, bool others)
+        const
+    {
+        tally out;
+        for (const auto& it : responses()) {
+            if (it.sent >= begin && it.sent < end && at.contains(it.entry) != others) {
+                out.all += 1;
+                out.served += it.status == 200 ? 1U : 0U;
+            }
+        }
+        return out;
+    }
+    /// Checks that requests ran as often as their callers were told.
+    void check_executions() const
+    {
+        EXPECT_EQ(responses().size(), sent_) << "requests without a response";
+        for (const auto& it : responses()) {
+            const auto found = executions().find(it.request);
+            const std::size_t n = found == executions().end() ? 0 : found->second;
+            if (!it.is_idempotent) {
+                EXPECT_LE(n, 1U) << "request " << it.request;
+                if (it.verdict == "not-run") {
+                    EXPECT_EQ(n, 0U) << "request " << it.request;
+                }
+            }
+        }
+    }
+
+protected:
+    /// A gray server resets most of its connections after it has read a request.
+    http::client_result serve(const core::endpoint& server) override
+    {
+        constexpr std::uint16_t gray_divisor = 5;
+        constexpr std::uint64_t failing_percent = 75;
+        const bool fails =
+            server.port % gray_divisor == 0 && random_() % 100 < failing_percent;
+        if (!fails) {
+            return simulated_fleet::serve(server);
+        }
+        http::client_result out;
+        out.verdict = core::verdict::may_have_run;
+        out.failure = http::failure::reset;
+        out.elapsed = 2 * network_delay;
+        return out;
+    }
+
+private:
+    std::size_t sent_ = 0;
+};
+
+fleet_shape shape_of(std::size_t entries, std::uint64_t seed)
+{
+    fleet_shape out;
+    out.entries = entries;
+    out.domains = 3;
+    out.servers = entries > 100 ? 170 : 21;
+    out.mean_service_time = absl::Milliseconds(400);
+    out.deadline = absl::Milliseconds(2500);
+    out.seed = seed;
+    return out;
+}
+
+struct outcome
+{
+    tally before;       ///< At the entries that keep their links, before the cut.
+    tally others;       ///< At the same, from `liveness` after the cut.
+    tally others_early; ///< The same, from 1 s after the cut.
+    tally cut;
+    tally cut_early;
+    tally after; ///< At all entries, from 2 s after the links return.
+    absl::Duration cut_time = absl::Seconds(12);
+
+    void
+    add(const stranded_fleet& fleet,
+        absl::Time cut_at,
+        const std::set<std::size_t>& entries)
+    {
+        const auto end = cut_at + cut_time;
+        const auto sum = [&](tally& to,
+                             absl::Time from,
+                             absl::Time until,
+                             const std::set<std::size_t>& at,
+                             bool is_other) {
+            const auto n = fleet.count(from, until, at, is_other);
+            to.served += n.served;
+            to.all += n.all;
+        };
+        sum(before, cut_at - absl::Seconds(2), cut_at - absl::Seconds(1), {}, true);
+        sum(others, cut_at + liveness, end, entries, true);
+        sum(others_early, cut_at + absl::Seconds(1), end, entries, true);
+        sum(cut, cut_at + liveness, end, entries, false);
+        sum(cut_early, cut_at + absl::Seconds(1), end, entries, false);
+        sum(after, end + absl::Seconds(2), end + absl::Seconds(4), {}, true);
+    }
+
+    void check() const
+    {
+        // The users ask for two thirds.
+        constexpr double served_ratio = 0.97;
+        constexpr double early_served_ratio = 0.9;
+        constexpr double margin = 0.03;
+        EXPECT_GE(cut.share(), served_ratio * others.share()) << cut << ", " << others;
+        EXPECT_GE(cut_early.share(), early_served_ratio * others_early.share())
+            << cut_early << ", " << others_early;
+        EXPECT_GE(others.share(), before.share() - margin) << others << ", " << before;
+        EXPECT_GE(after.share(), before.share() - margin) << after << ", " << before;
+    }
+};
+
+void play(
+    outcome& to,
+    std::size_t entries,
+    std::uint64_t seed,
+    link_fault fault,
+    std::optional<double> fraction)
+{
+    stranded_fleet fleet(shape_of(entries, seed));
+    fleet.run(warm_up);
+    const auto chosen = fraction ? fleet.choose(*fraction) : fleet.first_domain();
+    const auto cut_at = fleet.now();
+    fleet.cut(chosen, fault);
+    fleet.run(to.cut_time);
+    fleet.restore(chosen);
+    fleet.run(absl::Seconds(4));
+    fleet.advance(fleet.now() + drain_time);
+    to.add(fleet, cut_at, chosen);
+    fleet.check_executions();
+}
+
+class stranded_fleet_test : public testing::TestWithParam<link_fault>
+{
+};
+
+// Guards against entries that fail the requests of their callers because they have lost
+// their links to the servers, and against false reports of failures by them.
+TEST_P(stranded_fleet_test, callers_of_entries_without_links_are_served)
+{
+    for (const double fraction : {0.1, 0.6, 0.9}) {
+        outcome sum;
+        for (std::uint64_t seed = 0; seed < seeds(3); ++seed) {
+            play(sum, 32, seed, GetParam(), fraction);
+        }
+        SCOPED_TRACE(absl::StrCat("fraction ", fraction));
+        sum.check();
+    }
+}
+
+// The same for all entries of a failure domain.
+TEST_P(stranded_fleet_test, callers_of_a_domain_without_links_are_served)
+{
+    outcome sum;
+    for (std::uint64_t seed = 0; seed < seeds(3); ++seed) {
+        play(sum, 32, seed, GetParam(), std::nullopt);
+    }
+    sum.check();
+}
+
+// The same for a large fleet, in which an entry knows few of the others.
+TEST_P(stranded_fleet_test, callers_of_a_large_fleet_are_served)
+{
+    outcome sum;
+    sum.cut_time = absl::Seconds(5);
+    play(sum, 277, 0, GetParam(), 0.6);
+    sum.check();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    faults,
+    stranded_fleet_test,
+    testing::Values(link_fault::dropped, link_fault::reset, link_fault::refused),
+    [](const auto& it) {
+        switch (it.param) {
+        case link_fault::dropped:
+            return "dropped";
+        case link_fault::reset:
+            return "reset";
+        case link_fault::refused:
+            break;
+        }
+        return "refused";
+    });
+
+} // namespace
+} // namespace cuminpitch::entry
