Forward requests when the path to the servers is lost

What callers saw: entries that had lost their links to all servers served 0 to 34% of their requests, until their callers left them after up to 15 s.

Cause: an entry had no way to the servers of a shared pool but its own links, and noticed a loss only by connection timeouts, one of three forms.

Change: health::reach_monitor takes a path as lost when three servers in succession fail without a contact; a new connection proves more than a response on an open one. entry::server_reach then asks a few other entries whether they reach the same servers, forwards to those that do, and probes the path until three probes in a row succeed. A forwarded request is never forwarded again, carries the attempts that are left and the revision of the declarations, and is counted in the retry budget by the entry that sends it to a server. An impaired entry leaves itself out of its answers.

The test now compares with the same fleet without a cut in place of a second before the cut, which was one in which gray servers were well known: the same bound against a better reference.

--- a/include/cuminpitch/control/sync.hpp
+++ b/include/cuminpitch/control/sync.hpp
@@ -165,6 +165,28 @@
     friend bool operator==(const rate_news&, const rate_news&) = default;
 };
 
+/// Sent by an entry that can't connect to these servers of a pool, to find entries that
+/// can and to which it may forward requests.
+struct reach_query
+{
+    core::pool_id pool;
+    std::vector<core::server_id> servers;
+
+    friend bool operator==(const reach_query&, const reach_query&) = default;
+};
+
+/// Answers a reach_query, at once if the sender knows, else when it has probed a server.
+struct reach_report
+{
+    core::pool_id pool;
+    bool reaches = false;        ///< Whether the sender reaches one of the servers.
+    std::uint32_t in_flight = 0; ///< Requests that the sender holds.
+    /// Entries of which the sender knows that they reach servers of the pool.
+    std::vector<core::instance_id> others;
+
+    friend bool operator==(const reach_report&, const reach_report&) = default;
+};
+
 /// Hash of an ordered list of endpoints, for detecting whether two lists differ.
 std::uint64_t endpoints_hash(const std::vector<core::endpoint>& list);
 
@@ -192,6 +214,8 @@
     pool_evidence,
     permit_request,
     permit_response,
-    rate_news>;
+    rate_news,
+    reach_query,
+    reach_report>;
 
 } // namespace cuminpitch::control
--- a/include/cuminpitch/entry/node.hpp
+++ b/include/cuminpitch/entry/node.hpp
@@ -101,8 +101,8 @@
     std::string metrics_text();
     /// HTTP endpoints of the entries that callers in this failure domain should use, as
     /// last received from control. Empty until control has sent them; kept while control
-    /// is unreachable. Excludes this entry once a planned stop has begun, unless it
-    /// is the only one.
+    /// is unreachable. Excludes this entry once a planned stop has begun or while its
+    /// network path to servers is impaired, unless it is the only one.
     std::vector<core::endpoint> named_entries() const;
 
 private:
--- a/include/cuminpitch/health/path_monitor.hpp
+++ b/include/cuminpitch/health/path_monitor.hpp
@@ -32,6 +32,8 @@
     explicit path_monitor(path_monitor_options options = {}) : options_(options) {}
 
     void count(absl::Time now, const core::server_id& server, bool timed_out);
+    /// Counts the path as impaired because it is lost.
+    void set_lost(absl::Time now) { impaired_until_ = now + options_.impaired_duration; }
     bool is_impaired(absl::Time now) const { return now < impaired_until_; }
 
 private:
--- a/include/cuminpitch/request/events.hpp
+++ b/include/cuminpitch/request/events.hpp
@@ -73,6 +73,9 @@
     core::instance_id id;
     core::endpoint http;
     bool usable = true; ///< Not draining and heard from recently.
+    /// Requests that it holds, besides those forwarded by this entry. Entries with less
+    /// load are preferred.
+    double load = 0;
 };
 
 /// The current settings, servers and entries of a pool. Replaces the previous update.
@@ -83,7 +86,10 @@
     std::vector<server_view> servers;
     std::vector<entry_view> entries;
     bool is_assigned = false; ///< This entry is assigned to the pool.
-    core::revision revision;  ///< Revision of the fleet state that lists the servers.
+    /// The network path from this entry to the servers is lost. If there are usable
+    /// entries, requests are forwarded to them.
+    bool is_path_lost = false;
+    core::revision revision; ///< Revision of the fleet state that lists the servers.
     /// Weight, 0 to 1, of the requests in flight that other entries reported: the
     /// expected fraction of them that is still in flight.
     double remote_in_flight_weight = 1;
@@ -101,6 +107,9 @@
     bool is_draining = false;
     /// When control last confirmed that this entry has the newest fleet state.
     absl::Time confirmed = absl::InfinitePast();
+    core::revision revision; ///< Of the fleet state.
+    /// Revision that last changed the declarations, or a later one.
+    core::revision declared;
 };
 
 struct request_received
@@ -184,6 +193,15 @@
     std::uint32_t count = 0;
 };
 
+/// What an attempt has shown about the network path to its server.
+enum class path_result
+{
+    unknown,
+    answered,      ///< The server responded.
+    not_connected, ///< No connection was made.
+    broken,        ///< The connection was reset, or there is no response yet.
+};
+
 /// Evidence about a backend server.
 struct observation
 {
@@ -207,6 +225,8 @@
     /// The failure may be one of the network path: the connection attempt timed out and
     /// nothing came back from the server.
     bool may_be_path_failure = false;
+    path_result path = path_result::unknown;
+    bool is_new_connection = false; ///< A connection was made for this attempt.
     /// Another server answered at this server's address.
     bool is_misdirected = false;
     /// What the response says about the server's rate limit.
--- a/include/cuminpitch/request/refusal_reason.hpp
+++ b/include/cuminpitch/request/refusal_reason.hpp
@@ -15,6 +15,7 @@
     draining,        ///< The entry is stopping and accepts no new requests.
     not_assigned,    ///< Forwarded once already, to an entry that doesn't serve the pool.
     no_entry,        ///< No assigned entry can be reached.
+    path_lost,       ///< Forwarded once already, to an entry that reaches no server.
     deadline_passed, ///< No time was left when the request arrived.
     entry_full,      ///< The entry has reached its limit of requests in flight.
     team_share,      ///< The team has reached its share of the entry's limit.
@@ -47,6 +48,7 @@
     refusal_reason::draining,
     refusal_reason::not_assigned,
     refusal_reason::no_entry,
+    refusal_reason::path_lost,
     refusal_reason::deadline_passed,
     refusal_reason::entry_full,
     refusal_reason::team_share,
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -146,6 +146,10 @@
         limits_.receive(now_, from, *it);
     } else if (const auto* it = std::get_if<control::rate_news>(&message.value())) {
         limits_.receive(now_, from, *it);
+    } else if (const auto* it = std::get_if<control::reach_query>(&message.value())) {
+        reach_.receive(now_, from, *it);
+    } else if (const auto* it = std::get_if<control::reach_report>(&message.value())) {
+        reach_.receive(now_, from, *it);
     } else {
         append_actions(link_.receive(now_, from, message.value()));
     }
@@ -171,6 +175,14 @@
     started_ = std::min(started_, now_);
     append_actions(link_.tick(now_));
     refresh();
+    reach_.set_load(
+        dispatcher_.in_flight(),
+        is_ready() && !condition_.is_isolated && !condition_.is_refusing);
+    reach_.tick(now_);
+    if (reach_.any_lost()) {
+        paths_.set_lost(now_);
+    }
+    flush_reach();
     tick_shared_pools();
     limits_.tick(now_);
     if (now_ >= next_presence_ || paths_.is_impaired(now_) != was_impaired_) {
@@ -244,6 +256,7 @@
     if (const auto pool = shared_pools_.find(observed.what.pool);
         pool != shared_pools_.end()) {
         pool->second.observe(now_, observed.what);
+        reach_.observe(now_, observed.what);
         if (observed.what.what != request::observation::kind::overdue) {
             paths_.count(now_, observed.what.server, observed.what.may_be_path_failure);
         }
--- a/src/entry/node_api.cpp
+++ b/src/entry/node_api.cpp
@@ -38,7 +38,7 @@
 std::vector<core::endpoint> node::impl::named_entries() const
 {
     auto out = link_.named();
-    if (condition_.is_draining && out.size() > 1) {
+    if ((condition_.is_draining || was_impaired_) && out.size() > 1) {
         std::erase(out, options_.self.http);
     }
     return out;
--- a/src/entry/node_impl_priv.hpp
+++ b/src/entry/node_impl_priv.hpp
@@ -11,6 +11,7 @@
 #include "entry/failure_relay_priv.hpp"
 #include "entry/pool_runtime_priv.hpp"
 #include "entry/rate_limits_priv.hpp"
+#include "entry/server_reach_priv.hpp"
 #include "entry/shared_pool_priv.hpp"
 #include "entry/status_priv.hpp"
 
@@ -32,11 +33,21 @@
     core::server_id server;
 };
 
+/// Shows whether the network path to a server works.
+struct path_probe
+{
+    core::pool_id pool;
+    core::server_id server;
+    absl::Time began;
+};
+
 /// The purpose of an HTTP call that this entry started.
-using call_purpose = std::variant<request::attempt_id, probe_call, entries_query>;
+using call_purpose =
+    std::variant<request::attempt_id, probe_call, path_probe, entries_query>;
 
 /// Implementation of node. node.cpp handles events and actions, node_api.cpp serves
-/// the HTTP API of the entry, and node_pools.cpp applies fleet views and updates pools.
+/// the HTTP API of the entry, node_pools.cpp applies fleet views and updates pools, and
+/// node_reach.cpp acts on lost network paths to servers.
 class node::impl
 {
 public:
@@ -51,7 +62,8 @@
               core::random_source(options_.seed + 1),
               metrics),
           relay_(options_.self),
-          limits_(options_.self, core::random_source(options_.seed + 2), metrics)
+          limits_(options_.self, core::random_source(options_.seed + 2), metrics),
+          reach_(options_.self, core::random_source(options_.seed + 3), metrics)
     {
     }
 
@@ -63,6 +75,7 @@
         }
         std::visit([&](auto& event) { on(event); }, input);
         apply_view();
+        flush_reach();
         flush_limits();
         return std::exchange(out_, {});
     }
@@ -72,7 +85,7 @@
     bool is_idle() const
     {
         return is_ready() && pools_.empty() && dispatcher_.in_flight() == 0 &&
-               limits_.is_idle();
+               limits_.is_idle() && reach_.is_idle();
     }
     std::vector<core::endpoint> named_entries() const;
     std::string metrics_text();
@@ -103,6 +116,7 @@
     // Handlers of finished HTTP calls, one for each purpose.
     void finish(const request::attempt_id& attempt, http::client_result& result);
     void finish(const probe_call& probe, http::client_result& result);
+    void finish(const path_probe& probe, http::client_result& result);
     void finish(entries_query& query, http::client_result& result);
 
     // Actions requested by the dispatcher and by the health of a pool.
@@ -178,6 +192,10 @@
     /// Sends the messages of the rate limits, and updates the pools whose servers are
     /// affected.
     void flush_limits();
+    /// Sends messages and probes that find out about network paths to servers, and
+    /// updates the pools of which one was lost or has recovered.
+    void flush_reach();
+    void start_path_probe(const server_reach::probe& it);
     void send_evidence();
     /// Counts failures of servers that were sent to other entries or received from them.
     void count_reports(const control::pool_evidence& evidence, const char* direction);
@@ -205,6 +223,9 @@
     absl::btree_map<core::endpoint, absl::Time> active_peers_;
     failure_relay relay_;
     rate_limits limits_;
+    server_reach reach_;
+    /// Revision in which the declarations last changed, or a later one.
+    core::revision declared_;
     /// Pools for which other entries have sent evidence since the last tick.
     absl::btree_set<core::pool_id> pools_with_evidence_;
     struct waiting_request
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -65,7 +65,9 @@
         {condition_.is_isolated,
          condition_.is_refusing,
          condition_.is_draining,
-         link_.last_response()});
+         link_.last_response(),
+         link_.replica().revision(),
+         declared_});
     if (condition_.is_isolated != was_isolated) {
         log(telemetry::severity::warning,
             condition_.is_isolated ? "isolated" : "connected");
@@ -99,6 +101,7 @@
     }
     const auto previous = std::exchange(view_, link_.replica().view());
     if (!previous || previous->declarations != view_->declarations) {
+        declared_ = view_->revision;
         routes_ = std::make_shared<const request::route_table>(view_->declarations);
         dispatcher_.set_routes(routes_);
         drop_undeclared_pools(previous.get());
@@ -109,6 +112,7 @@
         for (const auto& [id, record] : view_->entries) {
             entries.push_back(record);
         }
+        reach_.set_entries(entries);
         limits_.set_entries(std::move(entries));
     }
     for (const auto& [id, declared] : view_->declarations->pools) {
@@ -128,6 +132,7 @@
         if (!view_->declarations->pools.contains(id)) {
             pools_.erase(id);
             shared_pools_.erase(id);
+            reach_.remove_pool(id);
             run_all(dispatcher_.remove_pool(now_, id));
         }
     }
@@ -152,6 +157,7 @@
     const auto [it, is_new] = shared_pools_.try_emplace(
         declared.id, declared.id, options_.self.failure_domain, options_.self.id);
     if (it->second.set_view(now_, *view_) || is_new) {
+        reach_.set_servers(declared.id, it->second.server_ids());
         update_dispatcher(declared.id);
     }
 }
@@ -164,6 +170,7 @@
 void node::impl::update_dispatcher(request::pool_update update)
 {
     limits_.apply(now_, update);
+    reach_.apply(update);
     run_all(dispatcher_.update_pool(now_, std::move(update)));
 }
 
@@ -406,6 +413,7 @@
         return;
     }
     shared_pools_.erase(declared.id);
+    reach_.remove_pool(declared.id);
     if (is_assigned_here(declared.id)) {
         auto& pool = pools_[declared.id];
         if (!pool) {
--- a/src/entry/shared_pool.cpp
+++ b/src/entry/shared_pool.cpp
@@ -172,6 +172,24 @@
     }
 }
 
+std::vector<core::server_id> shared_pool::server_ids() const
+{
+    std::vector<core::server_id> out;
+    out.reserve(servers_.size());
+    for (const auto& [id, it] : servers_) {
+        out.push_back(id);
+    }
+    return out;
+}
+
+std::optional<core::endpoint> shared_pool::address_of(const core::server_id& server) const
+{
+    const auto found = servers_.find(server);
+    return found == servers_.end()
+               ? std::nullopt
+               : std::optional(found->second.record.announcement.address);
+}
+
 void shared_pool::receive(
     absl::Time now, const core::endpoint& from, const control::pool_evidence& evidence)
 {
--- a/src/entry/shared_pool_priv.hpp
+++ b/src/entry/shared_pool_priv.hpp
@@ -66,6 +66,10 @@
     bool has_decaying_penalties(absl::Time now) const;
 
     std::size_t size() const { return servers_.size(); }
+    std::vector<core::server_id> server_ids() const;
+    /// Address of the server, if it is listed.
+    std::optional<core::endpoint> address_of(const core::server_id& server) const;
+    const config::pool_settings& settings() const { return settings_; }
 
 private:
     struct server
--- /dev/null
+++ b/src/health/reach_monitor.cpp
@@ -0,0 +1,108 @@
+#include "cuminpitch/health/reach_monitor.hpp"
+
+#include <algorithm>
+
+namespace cuminpitch::health {
+
+void reach_monitor::set_servers(const std::vector<core::server_id>& servers)
+{
+    size_ = servers.size();
+    absl::erase_if(failures_, [&](const auto& it) {
+        return !std::binary_search(servers.begin(), servers.end(), it.first);
+    });
+}
+
+void reach_monitor::count_connected(absl::Time began, const core::server_id& server)
+{
+    last_connected_ = std::max(last_connected_, began);
+    auto& contact = contacted_.try_emplace(server, began).first->second;
+    contact = std::max(contact, began);
+    if (!is_lost_) {
+        absl::erase_if(
+            failures_, [&](const auto& it) { return it.second.began < began; });
+        return;
+    }
+    if (began > last_failed_ && ++contacts_ >= options_.contacts_to_recover) {
+        is_lost_ = false;
+        contacts_ = 0;
+        failures_.clear();
+    }
+}
+
+void reach_monitor::count_answered(absl::Time now, const core::server_id& server)
+{
+    contacted_[server] = now;
+    if (!is_lost_) {
+        absl::erase_if(failures_, [&](const auto& it) {
+            return !it.second.is_connect && it.second.began < now;
+        });
+    }
+}
+
+void reach_monitor::count_not_connected(
+    absl::Time now, absl::Time began, const core::server_id& server)
+{
+    count_failure(now, began, server, true);
+}
+
+void reach_monitor::count_broken(
+    absl::Time now, absl::Time began, const core::server_id& server)
+{
+    count_failure(now, began, server, false);
+}
+
+void reach_monitor::count_failure(
+    absl::Time now, absl::Time began, const core::server_id& server, bool is_connect)
+{
+    if (is_connect && began <= last_connected_ && !is_lost_) {
+        return; // A later attempt has made a connection: the fault is the server's.
+    }
+    const auto [it, is_new] =
+        failures_.try_emplace(server, failure{began, now, is_connect});
+    it->second.last = now;
+    it->second.is_connect = it->second.is_connect || is_connect;
+    last_failed_ = std::max(last_failed_, now);
+    contacts_ = 0;
+    const auto enough = std::min(options_.min_servers, std::max<std::size_t>(1, size_));
+    is_lost_ = is_lost_ || failures_.size() >= enough;
+}
+
+void reach_monitor::tick(absl::Time now)
+{
+    if (!is_lost_) {
+        absl::erase_if(failures_, [&](const auto& it) {
+            return now - it.second.last > options_.failure_memory;
+        });
+    }
+    absl::erase_if(contacted_, [&](const auto& it) {
+        return now - it.second > options_.failure_memory;
+    });
+}
+
+std::vector<core::server_id> reach_monitor::failed_servers() const
+{
+    std::vector<core::server_id> out;
+    out.reserve(failures_.size());
+    for (const auto& [server, it] : failures_) {
+        out.push_back(server);
+    }
+    return out;
+}
+
+absl::Time reach_monitor::first_failure() const
+{
+    absl::Time out = absl::InfiniteFuture();
+    for (const auto& [server, it] : failures_) {
+        out = std::min(out, it.began);
+    }
+    return out;
+}
+
+absl::Time reach_monitor::last_contact(const core::server_id& server) const
+{
+    const auto found = contacted_.find(server);
+    return found == contacted_.end() || failures_.contains(server) ? absl::InfinitePast()
+                                                                   : found->second;
+}
+
+} // namespace cuminpitch::health
--- a/src/request/admission_filter.cpp
+++ b/src/request/admission_filter.cpp
@@ -1,6 +1,8 @@
 #include "filters_priv.hpp"
 #include "header_rules_priv.hpp"
 
+#include <absl/strings/numbers.h>
+
 #include <algorithm>
 
 namespace cuminpitch::request {
@@ -14,6 +16,13 @@
     if (at.entry.is_refusing) {
         return refusal_reason::draining;
     }
+    // A forwarded request must not be handled by older declarations than its sender's.
+    std::uint64_t declared = 0;
+    if (it.is_from_entry &&
+        absl::SimpleAtoi(it.message->headers.get(revision_header), &declared) &&
+        declared > at.entry.revision.value()) {
+        return refusal_reason::no_revision;
+    }
     if (it.message->body.size() > it.pool->max_request_bytes) {
         return refusal_reason::request_too_large;
     }
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -2,6 +2,8 @@
 
 #include "header_rules_priv.hpp"
 
+#include <absl/strings/numbers.h>
+
 #include <algorithm>
 #include <array>
 #include <cassert>
@@ -47,14 +49,17 @@
     } else {
         rate_limited_pools_.erase(id);
     }
-    if (pool->last_update().is_assigned) {
+    const bool is_assigned = pool->last_update().is_assigned;
+    if (is_assigned && !pool->forwards()) {
         dispatch_queued(*pool);
         return std::move(out_);
     }
     for (const request_id waiting : pool->queue().drain()) {
         live_request& each = *live_.at(waiting);
-        if (each.is_from_entry || each.is_retry()) {
-            conclude(each, refusal_reason::not_assigned);
+        if (each.is_from_entry || (each.is_retry() && !is_assigned)) {
+            conclude(
+                each,
+                is_assigned ? refusal_reason::path_lost : refusal_reason::not_assigned);
         } else {
             forward_to_entry(each);
         }
@@ -140,6 +145,12 @@
     request.message = std::move(it.message);
     request.received = now_ - it.waited;
     request.caller = caller_of(*request.message);
+    request.is_from_entry = request.message->headers.has(hop_header);
+    std::uint32_t max_sends = 0;
+    if (request.is_from_entry &&
+        absl::SimpleAtoi(request.message->headers.get(attempts_header), &max_sends)) {
+        request.max_sends = max_sends;
+    }
     if (!options_.dialect.correlation.empty()) {
         request.correlation = request.message->headers.get(options_.dialect.correlation);
     }
@@ -157,7 +168,10 @@
     teams_.add(request.pool->id.team);
     live_[request.id] = std::move(arrived);
     set_timer(request, request.deadline);
-    pool_of(request)->budget().count_request(now_);
+    // The entry that sends the request to a server counts it.
+    if (!request.needs_forwarding || !request.pool->every_entry) {
+        pool_of(request)->budget().count_request(now_);
+    }
     if (request.needs_forwarding) {
         forward_to_entry(request);
     } else {
@@ -216,6 +230,16 @@
     return true;
 }
 
+/// Sends a request again: to another server, or to an entry that reaches the servers.
+void dispatcher::impl::dispatch_again(live_request& it)
+{
+    if (!it.is_from_entry && pool_of(it)->forwards()) {
+        forward_to_entry(it);
+    } else {
+        dispatch_or_enqueue(it);
+    }
+}
+
 void dispatcher::impl::dispatch_or_enqueue(live_request& it)
 {
     pool_state& pool = *pool_of(it);
--- a/src/request/dispatcher_attempts.cpp
+++ b/src/request/dispatcher_attempts.cpp
@@ -4,6 +4,7 @@
 #include "messages_priv.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace cuminpitch::request {
 namespace {
@@ -22,6 +23,45 @@
     return core::verdict::may_have_run;
 }
 
+/// Whether another entry may serve a request that one refused as not run.
+bool is_fault_of_entry(const std::string& reason)
+{
+    constexpr std::array same_everywhere = {
+        refusal_reason::malformed_request,
+        refusal_reason::request_too_large,
+        refusal_reason::shed,
+        refusal_reason::queue_full,
+        refusal_reason::caller_share,
+        refusal_reason::expected_wait,
+        refusal_reason::rate_limited,
+        refusal_reason::deadline_passed,
+        refusal_reason::deadline_in_queue};
+    return std::none_of(
+        same_everywhere.begin(), same_everywhere.end(), [&](refusal_reason it) {
+            return reason == to_string(it);
+        });
+}
+
+path_result path_of(const http::client_result& it)
+{
+    switch (it.failure) {
+    case http::failure::connect:
+        return path_result::not_connected;
+    case http::failure::timeout:
+    case http::failure::reset:
+        return path_result::broken;
+    case http::failure::cancelled:
+        return path_result::unknown;
+    case http::failure::none:
+    case http::failure::short_response:
+    case http::failure::response_too_large:
+    case http::failure::endless_response:
+    case http::failure::malformed_response:
+        break;
+    }
+    return path_result::answered;
+}
+
 } // namespace
 
 bool dispatcher::impl::lacks_time(const live_request& it, const pool_state& pool) const
@@ -74,7 +114,8 @@
     it.switch_at = absl::InfiniteFuture();
     const bool may_switch = !entry_.is_draining && pool.last_update().is_assigned &&
                             has_attempts_left(it, 1) &&
-                            pool.has_alternative(now_, it, it.server) &&
+                            (pool.has_alternative(now_, it, it.server) ||
+                             (pool.forwards() && !it.is_from_entry)) &&
                             pool.budget().take();
     if (!may_switch) {
         set_attempt_timer(it);
@@ -87,7 +128,9 @@
          {"reason", std::string("no-answer-yet")},
          {"elapsed_ms", absl::ToInt64Milliseconds(now_ - it.attempt_begin)}});
     if (!it.is_overdue) {
-        out_.emplace_back(observe{make_observation(it, observation::kind::failure)});
+        auto seen = make_observation(it, observation::kind::failure);
+        seen.path = path_result::broken;
+        out_.emplace_back(observe{std::move(seen)});
     }
     out_.emplace_back(cancel_attempt{it.attempt});
     it.tried.push_back(it.server);
@@ -96,7 +139,7 @@
     it.last_failure = refusal_reason::timeout;
     end_attempt(it);
     counters_.add("cuminpitch_attempts_given_up_total", pool_label(it));
-    dispatch_or_enqueue(it);
+    dispatch_again(it);
     return true;
 }
 
@@ -131,7 +174,9 @@
          {"elapsed_ms", absl::ToInt64Milliseconds(now_ - it.attempt_begin)},
          {"usual_ms", absl::ToInt64Milliseconds(pool_of(it)->service_time())}});
     counters_.add("cuminpitch_attempts_overdue_total", pool_label(it));
-    out_.emplace_back(observe{make_observation(it, observation::kind::overdue)});
+    auto seen = make_observation(it, observation::kind::overdue);
+    seen.path = path_result::broken;
+    out_.emplace_back(observe{std::move(seen)});
     set_attempt_timer(it);
 }
 
@@ -194,6 +239,9 @@
         make_observation(it, is_reported ? observation::kind::none : outcome.evidence);
     seen.duration = result.elapsed;
     seen.may_be_path_failure = outcome.may_be_path_failure;
+    seen.path = path_of(result);
+    seen.is_new_connection =
+        !result.reused_connection && result.verdict != core::verdict::not_run;
     seen.is_misdirected = outcome.is_misdirected;
     seen.max_rate = outcome.max_rate;
     out_.emplace_back(observe{std::move(seen)});
@@ -229,12 +277,14 @@
     // didn't get the request. This limit covers all attempts.
     constexpr std::size_t max_servers_tried = 6;
     return it.tried.size() < max_servers_tried &&
+           (!it.max_sends || it.sends + in_flight < *it.max_sends) &&
            (!it.route->max_attempts || it.sends + in_flight < *it.route->max_attempts);
 }
 
 bool dispatcher::impl::retry_at_server(live_request& it, const attempt_outcome& outcome)
 {
     pool_state& pool = *pool_of(it);
+    const bool may_forward = pool.forwards() && !it.is_from_entry;
     const char* why = nullptr;
     // An attempt that never reached a server puts no load on the pool.
     const bool needs_no_budget = pool.last_update().settings.every_entry &&
@@ -244,7 +294,8 @@
         why = "may-have-run";
     } else if (lacks_time(it, pool)) {
         why = "deadline";
-    } else if (!pool.last_update().is_assigned || !pool.has_untried(it)) {
+    } else if (
+        !pool.last_update().is_assigned || (!may_forward && !pool.has_untried(it))) {
         why = "no-other-server";
     } else if (!has_attempts_left(it)) {
         why = "attempts-spent";
@@ -257,7 +308,7 @@
         return false;
     }
     count_retry(it, outcome);
-    dispatch_or_enqueue(it);
+    dispatch_again(it);
     return true;
 }
 
@@ -282,6 +333,29 @@
     return out;
 }
 
+/// Chooses at random among the entries with the lowest load. The load of a pool's
+/// assigned entries isn't known.
+const entry_view&
+dispatcher::impl::choose_entry(const std::vector<entry_view>& entries, bool is_path_lost)
+{
+    const auto load = [&](const entry_view& it) {
+        const auto own = forwarded_.find(it.id);
+        const bool has_own = is_path_lost && own != forwarded_.end();
+        return it.load + (has_own ? static_cast<double>(own->second) : 0);
+    };
+    std::vector<const entry_view*> best;
+    for (const auto& it : entries) {
+        if (!best.empty() && load(it) > load(*best.front())) {
+            continue;
+        }
+        if (!best.empty() && load(it) < load(*best.front())) {
+            best.clear();
+        }
+        best.push_back(&it);
+    }
+    return *best[random_() % best.size()];
+}
+
 void dispatcher::impl::forward_to_entry(live_request& it)
 {
     const auto entries = untried_entries(it);
@@ -289,35 +363,78 @@
         conclude(it, refusal_reason::no_entry);
         return;
     }
-    const entry_view& entry = entries[random_() % entries.size()];
+    const bool is_path_lost = pool_of(it)->last_update().is_path_lost;
+    const entry_view& entry = choose_entry(entries, is_path_lost);
     begin_attempt(it);
     it.at = live_request::phase::forwarded;
     it.tried_entries.push_back(entry.id);
-    out_.emplace_back(
-        forward{entry.id, to_entry(it, entry, it.attempt_timeout, options_.dialect)});
+    ++forwarded_[entry.id];
+    const std::string why = is_path_lost ? "path-lost" : "not-assigned";
+    auto at = pool_label(it);
+    at.emplace_back("reason", why);
+    counters_.add("cuminpitch_forwarded_requests_total", at);
+    explain_decision(
+        it,
+        "forwarded",
+        {{"route", it.route->id.str()},
+         {"pool", it.pool->id.str()},
+         {"entry", entry.id.str()},
+         {"reason", why},
+         {"attempt",
+          static_cast<std::int64_t>(it.tried.size() + it.tried_entries.size())},
+         {"limit_ms", absl::ToInt64Milliseconds(it.attempt_timeout)},
+         {"waited_ms", absl::ToInt64Milliseconds(now_ - it.received)},
+         {"entry_load", entry.load},
+         {"entries", static_cast<std::int64_t>(entries.size())}});
+    out_.emplace_back(forward{
+        entry.id,
+        to_entry(it, entry, it.attempt_timeout, entry_.declared, options_.dialect)});
 }
 
 void dispatcher::impl::finish_at_entry(live_request& it, http::client_result result)
 {
-    const std::string verdict = result.response.headers.get(http::verdict_header);
-    if (result.failure == http::failure::none && !verdict.empty()) {
+    const std::string verdict_text = result.response.headers.get(http::verdict_header);
+    const bool is_response =
+        result.failure == http::failure::none && !verdict_text.empty();
+    const auto verdict = parse_verdict(verdict_text);
+    if (is_response && verdict != core::verdict::not_run) {
         respond_to(
-            it, parse_verdict(verdict), from_entry(it, std::move(result.response)));
+            it, verdict, from_entry(it, std::move(result.response), options_.dialect));
         return;
     }
     // A response without a verdict is not from an entry, or not from the part of an entry
     // that handles requests.
     attempt_outcome outcome;
-    const bool is_sent = result.verdict != core::verdict::not_run;
+    const bool is_sent = !is_response && result.verdict != core::verdict::not_run;
     outcome.verdict = is_sent ? core::verdict::may_have_run : core::verdict::not_run;
     outcome.failure =
         is_sent ? refusal_reason::hop_failed : refusal_reason::hop_unreachable;
     if (result.failure == http::failure::response_too_large) {
         outcome.failure = refusal_reason::response_too_large;
     }
+    const auto reason = result.response.headers.get(http::reason_header);
+    explain_decision(
+        it,
+        "hop failed",
+        {{"entry", it.tried_entries.back().str()},
+         {"reason", is_response ? reason : std::string(to_string(*outcome.failure))},
+         {"verdict", std::string(core::to_string(outcome.verdict))},
+         {"elapsed_ms", absl::ToInt64Milliseconds(result.elapsed)}});
     it.may_have_run = it.may_have_run || is_sent;
     it.last_failure = outcome.failure;
-    if (!retry_at_entry(it, outcome)) {
+    const bool is_final = is_response && !it.may_have_run &&
+                          (!it.pool->every_entry || !is_fault_of_entry(reason));
+    if (!is_final && retry_at_entry(it, outcome)) {
+        return;
+    }
+    // An entry with other declarations than this one may not know the route.
+    const bool is_known_here =
+        !it.pool->every_entry ||
+        result.response.status != status_of(refusal_reason::no_route);
+    if (is_response && !it.may_have_run && is_known_here) {
+        respond_to(
+            it, verdict, from_entry(it, std::move(result.response), options_.dialect));
+    } else {
         conclude(it, *it.last_failure);
     }
 }
@@ -328,7 +445,10 @@
         untried_entries(it).empty()) {
         return false;
     }
-    if (!pool_of(it)->budget().take()) {
+    // An entry that didn't run the request has put no load on the pool.
+    const bool needs_no_budget =
+        it.pool->every_entry && outcome.verdict == core::verdict::not_run;
+    if (!needs_no_budget && !pool_of(it)->budget().take()) {
         counters_.add("cuminpitch_retries_over_budget_total", pool_label(it));
         return false;
     }
@@ -342,6 +462,11 @@
     attempts_.erase(it.attempt);
     if (it.at == live_request::phase::sent) {
         pool_of(it)->release(it.server, it.caller);
+    } else if (it.at == live_request::phase::forwarded) {
+        const auto found = forwarded_.find(it.tried_entries.back());
+        if (--found->second == 0) {
+            forwarded_.erase(found);
+        }
     }
     it.at = live_request::phase::arriving;
 }
--- a/src/request/dispatcher_impl_priv.hpp
+++ b/src/request/dispatcher_impl_priv.hpp
@@ -54,6 +54,7 @@
     bool evict_from_team(const core::team_id& team);
 
     void dispatch_or_enqueue(live_request& it);
+    void dispatch_again(live_request& it);
     std::optional<refusal_reason> enqueue(live_request& it);
     void send(live_request& it, const server_view& server);
     void dispatch_queued(pool_state& pool);
@@ -67,6 +68,8 @@
     bool retry_at_entry(live_request& it, const attempt_outcome& outcome);
     std::vector<entry_view> untried_entries(const live_request& it) const;
     void count_retry(const live_request& it, const attempt_outcome& outcome);
+    const entry_view&
+    choose_entry(const std::vector<entry_view>& entries, bool is_path_lost);
 
     void conclude(live_request& it, refusal_reason why);
     void respond_to(live_request& it, core::verdict verdict, http::response response);
@@ -121,6 +124,8 @@
 
     absl::flat_hash_map<request_id, live_ptr> live_;
     absl::flat_hash_map<attempt_id, request_id> attempts_;
+    /// Requests that are forwarded now, by entry.
+    absl::flat_hash_map<core::instance_id, std::size_t> forwarded_;
     absl::btree_set<std::pair<absl::Time, request_id>> timers_;
     attempt_id last_attempt_;
 
--- a/src/request/dispatcher_responses.cpp
+++ b/src/request/dispatcher_responses.cpp
@@ -147,7 +147,11 @@
          {"retry_after_ms", absl::ToInt64Milliseconds(refusal.retry_after)},
          {"total_ms", absl::ToInt64Milliseconds(now_ - it.received)},
          {"attempts", static_cast<std::int64_t>(it.tried.size())}});
-    out_.emplace_back(refuse{it.id, why, verdict, http::refusal_response(refusal)});
+    auto response = http::refusal_response(refusal);
+    if (it.is_from_entry) {
+        response.headers.set(std::string(http::verdict_header), core::to_string(verdict));
+    }
+    out_.emplace_back(refuse{it.id, why, verdict, std::move(response)});
     erase_request(it);
 }
 
--- a/src/request/header_rules_priv.hpp
+++ b/src/request/header_rules_priv.hpp
@@ -12,6 +12,10 @@
 namespace cuminpitch::request {
 
 inline constexpr std::string_view hop_header = "Cuminpitch-Hop";
+/// Number of servers to which a forwarded request may still be sent.
+inline constexpr std::string_view attempts_header = "Cuminpitch-Attempts-Left";
+/// Revision of the declarations that the entry must have to which a request is forwarded.
+inline constexpr std::string_view revision_header = "Cuminpitch-Revision";
 inline constexpr std::string_view caller_header = "Cuminpitch-Caller";
 
 /// Returns the headers without the hop-by-hop ones (RFC 9110, 7.6.1) and without those
--- a/src/request/live_request_priv.hpp
+++ b/src/request/live_request_priv.hpp
@@ -53,6 +53,8 @@
     std::vector<core::server_id> tried;
     /// Number of attempts at servers that may have received the request.
     std::uint32_t sends = 0;
+    /// Limit on `sends` by the entry that forwarded the request.
+    std::optional<std::uint32_t> max_sends;
     std::vector<core::instance_id> tried_entries;
     /// An earlier attempt may have been executed. Never reset.
     bool may_have_run = false;
--- a/src/request/messages.cpp
+++ b/src/request/messages.cpp
@@ -24,6 +24,8 @@
     out.max_response_bytes = it.pool->max_response_bytes;
     out.headers = end_to_end_headers(it.message->headers);
     out.headers.remove(hop_header);
+    out.headers.remove(attempts_header);
+    out.headers.remove(revision_header);
     out.message = it.message;
     return out;
 }
@@ -81,12 +83,22 @@
     const live_request& it,
     const entry_view& entry,
     absl::Duration remaining,
+    core::revision declared,
     const dialect& names)
 {
     outgoing_request out = base_request(it, remaining);
     out.to = entry.http;
     set_deadline(out.headers, remaining - std::min(hop_margin, remaining / 10), names);
     out.headers.set(std::string(hop_header), "1");
+    out.headers.set(std::string(revision_header), std::to_string(declared.value()));
+    if (it.route->max_attempts) {
+        const auto left = std::max(*it.route->max_attempts, it.sends + 1) - it.sends;
+        out.headers.set(std::string(attempts_header), std::to_string(left));
+    }
+    out.expected = expected_from_server(names, it.correlation);
+    if (it.pool->every_entry) {
+        out.connect_timeout = shared_pool_connect_timeout;
+    }
     out.headers.set(std::string(caller_header), it.caller.str());
     return out;
 }
@@ -101,9 +113,13 @@
     return response;
 }
 
-http::response from_entry(const live_request& it, http::response response)
+http::response
+from_entry(const live_request& it, http::response response, const dialect& names)
 {
     response.headers = forwarded_headers(it, response);
+    if (names.terse_refusals && response.headers.has(http::reason_header)) {
+        response.headers.remove(http::verdict_header);
+    }
     return response;
 }
 
--- a/src/request/messages_priv.hpp
+++ b/src/request/messages_priv.hpp
@@ -22,11 +22,12 @@
 http::expected_response
 expected_from_server(const dialect& names, const std::string& correlation);
 
-/// Makes the request to another entry.
+/// Makes the request to another entry, which must have the declarations of `declared`.
 outgoing_request to_entry(
     const live_request& it,
     const entry_view& entry,
     absl::Duration remaining,
+    core::revision declared,
     const dialect& names);
 
 /// Makes the response to the caller from that of a backend server.
@@ -34,6 +35,7 @@
 from_server(const live_request& it, http::response response, const dialect& names);
 
 /// Makes the response to the caller from the response or refusal of another entry.
-http::response from_entry(const live_request& it, http::response response);
+http::response
+from_entry(const live_request& it, http::response response, const dialect& names);
 
 } // namespace cuminpitch::request
--- a/src/request/pool_state.cpp
+++ b/src/request/pool_state.cpp
@@ -171,6 +171,14 @@
     });
 }
 
+bool pool_state::forwards() const
+{
+    const auto& entries = last_update_.entries;
+    return last_update_.is_path_lost &&
+           std::any_of(
+               entries.begin(), entries.end(), [](const auto& it) { return it.usable; });
+}
+
 bool pool_state::has_servers() const
 {
     return std::any_of(servers_.begin(), servers_.end(), [](const auto& it) {
--- a/src/request/pool_state_priv.hpp
+++ b/src/request/pool_state_priv.hpp
@@ -48,6 +48,9 @@
     /// `server`, which has the request or is about to get it.
     bool has_alternative(
         absl::Time now, const live_request& it, const core::server_id& server) const;
+    /// Whether requests are forwarded to other entries, as the path to the servers is
+    /// lost.
+    bool forwards() const;
     bool has_servers() const;
     /// Whether all servers have rate limits.
     bool is_rate_limited() const;
--- a/src/request/refusal_reason.cpp
+++ b/src/request/refusal_reason.cpp
@@ -36,6 +36,8 @@
         return {"not-assigned", unavailable, retry_class::other_entry};
     case refusal_reason::no_entry:
         return {"no-entry", unavailable, retry_class::later};
+    case refusal_reason::path_lost:
+        return {"path-lost", unavailable, retry_class::other_entry};
     case refusal_reason::deadline_passed:
         return {"deadline-passed", gateway_timeout, retry_class::later};
     case refusal_reason::entry_full:
--- a/src/wire/control_decoder.cpp
+++ b/src/wire/control_decoder.cpp
@@ -379,6 +379,30 @@
     return ok;
 }
 
+bool read(const fb::reach_query& in, model::message& out)
+{
+    model::reach_query it;
+    it.pool = {core::team_id(in.team()->str()), in.pool()->str()};
+    for (const auto* server : *in.servers()) {
+        it.servers.emplace_back(server->str());
+    }
+    out = std::move(it);
+    return true;
+}
+
+bool read(const fb::reach_report& in, model::message& out)
+{
+    model::reach_report it;
+    it.pool = {core::team_id(in.team()->str()), in.pool()->str()};
+    it.reaches = in.reaches();
+    it.in_flight = in.in_flight();
+    for (const auto* entry : *in.others()) {
+        it.others.emplace_back(entry->str());
+    }
+    out = std::move(it);
+    return true;
+}
+
 bool read(const fb::message& in, model::message& out)
 {
     switch (in.body_type()) {
@@ -400,6 +424,10 @@
         return read(*in.body_as_permit_response(), out);
     case fb::message_body::rate_news:
         return read(*in.body_as_rate_news(), out);
+    case fb::message_body::reach_query:
+        return read(*in.body_as_reach_query(), out);
+    case fb::message_body::reach_report:
+        return read(*in.body_as_reach_report(), out);
     default:
         return false;
     }
--- a/src/wire/control_encoder.cpp
+++ b/src/wire/control_encoder.cpp
@@ -381,6 +381,32 @@
         return fb::Createmessage(to, fb::message_body::rate_news, at.Union());
     }
 
+    flatbuffers::Offset<fb::message> operator()(const model::reach_query& it) const
+    {
+        fb::reach_queryT body;
+        body.team = it.pool.team.str();
+        body.pool = it.pool.name;
+        for (const auto& server : it.servers) {
+            body.servers.push_back(server.str());
+        }
+        const auto at = fb::reach_query::Pack(to, &body);
+        return fb::Createmessage(to, fb::message_body::reach_query, at.Union());
+    }
+
+    flatbuffers::Offset<fb::message> operator()(const model::reach_report& it) const
+    {
+        fb::reach_reportT body;
+        body.team = it.pool.team.str();
+        body.pool = it.pool.name;
+        body.reaches = it.reaches;
+        body.in_flight = it.in_flight;
+        for (const auto& entry : it.others) {
+            body.others.push_back(entry.str());
+        }
+        const auto at = fb::reach_report::Pack(to, &body);
+        return fb::Createmessage(to, fb::message_body::reach_report, at.Union());
+    }
+
     flatbuffers::Offset<fb::message> operator()(const model::state_response& it) const
     {
         flatbuffers::Offset<fb::contents> contents;
--- a/tests/control/control_codec_test.cpp
+++ b/tests/control/control_codec_test.cpp
@@ -69,7 +69,14 @@
             absl::Seconds(1),
             9,
             true},
-        rate_news{{limit, limit}, true}};
+        rate_news{{limit, limit}, true},
+        reach_query{
+            {core::team_id("t"), "p"}, {core::server_id("s1"), core::server_id("s2")}},
+        reach_report{
+            {core::team_id("t"), "p"},
+            true,
+            7,
+            {core::instance_id("e1"), core::instance_id("e2")}}};
 }
 
 // Guards against fields that are lost or swapped by encoding and decoding.
@@ -106,6 +113,8 @@
     EXPECT_EQ(std::get<permit_request>(back[6]), std::get<permit_request>(messages[6]));
     EXPECT_EQ(std::get<permit_response>(back[7]), std::get<permit_response>(messages[7]));
     EXPECT_EQ(std::get<rate_news>(back[8]), std::get<rate_news>(messages[8]));
+    EXPECT_EQ(std::get<reach_query>(back[9]), std::get<reach_query>(messages[9]));
+    EXPECT_EQ(std::get<reach_report>(back[10]), std::get<reach_report>(messages[10]));
 }
 
 // Guards against reads outside a damaged buffer. Decoding may fail or return any value.
--- a/tests/entry/stranded_fleet_test.cpp
+++ b/tests/entry/stranded_fleet_test.cpp
@@ -37,6 +37,12 @@
     {
         return all == 0 ? 1 : static_cast<double>(served) / static_cast<double>(all);
     }
+    tally& operator+=(const tally& it)
+    {
+        served += it.served;
+        all += it.all;
+        return *this;
+    }
     friend std::ostream& operator<<(std::ostream& to, const tally& it)
     {
         return to << it.served << " of " << it.all;
@@ -157,37 +163,34 @@
     return out;
 }
 
+/// Requests of several plays, each with and without a cut.
 struct outcome
 {
-    tally before;       ///< At the entries that keep their links, before the cut.
-    tally others;       ///< At the same, from `liveness` after the cut.
+    tally others;       ///< At the entries that keep their links, from `liveness` on.
     tally others_early; ///< The same, from 1 s after the cut.
     tally cut;
     tally cut_early;
-    tally after; ///< At all entries, from 2 s after the links return.
+    tally after;        ///< At all entries, from 2 s after the links return.
+    tally uncut_others; ///< As `others`, without a cut.
+    tally uncut_after;
     absl::Duration cut_time = absl::Seconds(12);
 
     void
     add(const stranded_fleet& fleet,
+        const stranded_fleet& uncut,
         absl::Time cut_at,
         const std::set<std::size_t>& entries)
     {
         const auto end = cut_at + cut_time;
-        const auto sum = [&](tally& to,
-                             absl::Time from,
-                             absl::Time until,
-                             const std::set<std::size_t>& at,
-                             bool is_other) {
-            const auto n = fleet.count(from, until, at, is_other);
-            to.served += n.served;
-            to.all += n.all;
-        };
-        sum(before, cut_at - absl::Seconds(2), cut_at - absl::Seconds(1), {}, true);
-        sum(others, cut_at + liveness, end, entries, true);
-        sum(others_early, cut_at + absl::Seconds(1), end, entries, true);
-        sum(cut, cut_at + liveness, end, entries, false);
-        sum(cut_early, cut_at + absl::Seconds(1), end, entries, false);
-        sum(after, end + absl::Seconds(2), end + absl::Seconds(4), {}, true);
+        const auto late = end + absl::Seconds(2);
+        const auto last = end + absl::Seconds(4);
+        others += fleet.count(cut_at + liveness, end, entries, true);
+        others_early += fleet.count(cut_at + absl::Seconds(1), end, entries, true);
+        cut += fleet.count(cut_at + liveness, end, entries, false);
+        cut_early += fleet.count(cut_at + absl::Seconds(1), end, entries, false);
+        after += fleet.count(late, last, {}, true);
+        uncut_others += uncut.count(cut_at + liveness, end, entries, true);
+        uncut_after += uncut.count(late, last, {}, true);
     }
 
     void check() const
@@ -199,8 +202,10 @@
         EXPECT_GE(cut.share(), served_ratio * others.share()) << cut << ", " << others;
         EXPECT_GE(cut_early.share(), early_served_ratio * others_early.share())
             << cut_early << ", " << others_early;
-        EXPECT_GE(others.share(), before.share() - margin) << others << ", " << before;
-        EXPECT_GE(after.share(), before.share() - margin) << after << ", " << before;
+        EXPECT_GE(others.share(), uncut_others.share() - margin)
+            << others << ", " << uncut_others;
+        EXPECT_GE(after.share(), uncut_after.share() - margin)
+            << after << ", " << uncut_after;
     }
 };
 
@@ -220,8 +225,12 @@
     fleet.restore(chosen);
     fleet.run(absl::Seconds(4));
     fleet.advance(fleet.now() + drain_time);
-    to.add(fleet, cut_at, chosen);
     fleet.check_executions();
+
+    stranded_fleet uncut(shape_of(entries, seed));
+    uncut.run(warm_up + to.cut_time + absl::Seconds(4));
+    uncut.advance(uncut.now() + drain_time);
+    to.add(fleet, uncut, cut_at, chosen);
 }
 
 class stranded_fleet_test : public testing::TestWithParam<link_fault>
