Bound the probes that other entries ask for

Cause: an entry that was asked whether it reaches certain servers probed up to two of them for each query, unless it had used just these in the last 2 s.

Change: a connection that was made to any server of the pool in the last 2 s answers the query; else one of the servers is probed, at most three a second for each pool. Tests of reach_monitor, server_reach and of forwarding.

--- a/include/cuminpitch/health/reach_monitor.hpp
+++ b/include/cuminpitch/health/reach_monitor.hpp
@@ -34,10 +34,10 @@
     /// Sets the servers of the pool, sorted by id.
     void set_servers(const std::vector<core::server_id>& servers);
 
-    /// A new connection to the server was made by an attempt that began at `began`.
-    void count_connected(absl::Time began, const core::server_id& server);
-    /// The server responded, on a connection that may be old.
-    void count_answered(absl::Time now, const core::server_id& server);
+    /// A new connection to a server was made by an attempt that began at `began`.
+    void count_connected(absl::Time began);
+    /// A server responded, on a connection that may be old.
+    void count_answered(absl::Time now);
     /// No connection to the server was made by an attempt that began at `began`.
     void
     count_not_connected(absl::Time now, absl::Time began, const core::server_id& server);
@@ -57,8 +57,6 @@
     absl::Time first_failure() const;
     /// Begin of the last attempt that made a connection.
     absl::Time last_connected() const { return last_connected_; }
-    /// Time of the last contact with the server, if it hasn't failed since.
-    absl::Time last_contact(const core::server_id& server) const;
 
 private:
     struct failure
@@ -78,7 +76,6 @@
     absl::Time last_connected_ = absl::InfinitePast();
     absl::Time last_failed_ = absl::InfinitePast();
     absl::btree_map<core::server_id, failure> failures_;
-    absl::btree_map<core::server_id, absl::Time> contacted_;
 };
 
 } // namespace cuminpitch::health
--- a/src/entry/server_reach.cpp
+++ b/src/entry/server_reach.cpp
@@ -1,6 +1,7 @@
 #include "entry/server_reach_priv.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace cuminpitch::entry {
 namespace {
@@ -12,7 +13,7 @@
 constexpr absl::Duration refresh_interval = absl::Milliseconds(400);
 /// An entry that hasn't reported for this long no longer gets requests.
 constexpr absl::Duration target_timeout = absl::Milliseconds(1200);
-/// A contact with a server that is older than this is confirmed by a probe.
+/// A connection that was made longer ago than this is confirmed by a probe.
 constexpr absl::Duration contact_validity = absl::Seconds(2);
 /// Longer than a probe takes.
 constexpr absl::Duration query_timeout = absl::Milliseconds(500);
@@ -20,7 +21,6 @@
 constexpr std::size_t max_targets = 4;
 constexpr std::size_t entries_per_search = 3; ///< Of this failure domain, and of others.
 constexpr std::size_t servers_per_query = 3;
-constexpr std::size_t probes_per_query = 2;
 /// A path counts as lost for pools without requests if so many servers of any pool fail.
 constexpr std::size_t min_failed_servers = 3;
 /// Load, in requests, that makes an entry of this failure domain equal to an idle one of
@@ -90,11 +90,11 @@
     }
     const absl::Time began = now - it.duration;
     if (it.is_new_connection) {
-        pool->monitor.count_connected(began, it.server);
+        pool->monitor.count_connected(began);
     }
     switch (it.path) {
     case request::path_result::answered:
-        pool->monitor.count_answered(now, it.server);
+        pool->monitor.count_answered(now);
         break;
     case request::path_result::not_connected:
         pool->monitor.count_not_connected(now, began, it.server);
@@ -124,8 +124,8 @@
         return;
     }
     if (has_answered) {
-        pool->monitor.count_connected(began, server);
-        pool->monitor.count_answered(now, server);
+        pool->monitor.count_connected(began);
+        pool->monitor.count_answered(now);
     } else {
         pool->monitor.count_not_connected(now, began, server);
     }
@@ -285,38 +285,38 @@
         return other.from == from.internal;
     };
     std::erase_if(pool->queries, is_from_sender);
-    pool->queries.push_back({from.internal, it.servers, now + query_timeout});
+    pool->queries.push_back({from.internal, now + query_timeout});
     answer_queries(now, it.pool, *pool);
     if (std::none_of(pool->queries.begin(), pool->queries.end(), is_from_sender)) {
         return;
     }
-    std::size_t started = 0;
-    for (const auto& server : it.servers) {
-        const bool is_listed =
-            std::binary_search(pool->servers.begin(), pool->servers.end(), server);
-        if (is_listed && started < probes_per_query) {
-            start_probe(now, it.pool, *pool, server);
-            ++started;
-        }
+    std::vector<core::server_id> listed;
+    std::copy_if(
+        it.servers.begin(),
+        it.servers.end(),
+        std::back_inserter(listed),
+        [&](const core::server_id& server) {
+            return std::binary_search(pool->servers.begin(), pool->servers.end(), server);
+        });
+    if (!listed.empty() && now >= pool->next_probe) {
+        pool->next_probe = now + probe_interval;
+        start_probe(now, it.pool, *pool, listed[random_() % listed.size()]);
     }
 }
 
-/// Answers the queries of which this entry has reached a server, or all if it has lost
-/// its own path.
+/// Answers the queries if this entry has made a connection lately or has lost its own
+/// path.
 void server_reach::answer_queries(
     absl::Time now, const core::pool_id& id, pool_reach& pool)
 {
-    std::erase_if(pool.queries, [&](const pending_query& query) {
-        const bool is_reached = std::any_of(
-            query.servers.begin(), query.servers.end(), [&](const auto& server) {
-                return now - pool.monitor.last_contact(server) <= contact_validity;
-            });
-        if (is_reached || pool.monitor.is_lost()) {
-            send_report(query.from, id, pool, !pool.monitor.is_lost());
-            return true;
+    const bool is_lost = pool.monitor.is_lost();
+    const bool is_reached =
+        !pool.is_suspect() && now - pool.monitor.last_connected() <= contact_validity;
+    if (is_lost || is_reached) {
+        for (const auto& it : std::exchange(pool.queries, {})) {
+            send_report(it.from, id, pool, is_reached);
         }
-        return false;
-    });
+    }
 }
 
 void server_reach::send_report(
--- a/src/entry/server_reach_priv.hpp
+++ b/src/entry/server_reach_priv.hpp
@@ -20,11 +20,11 @@
 /// entries to which it can forward their requests meanwhile.
 ///
 /// That several servers fail in succession may also mean that they are down. What tells
-/// the two apart is whether another entry reaches the same servers: an entry whose
-/// attempts fail asks a few others, which probe the servers unless they have had a
-/// contact recently, and forwards requests only to those that do reach them. A majority
-/// of the entries may have lost their paths, so their number doesn't count. A lost path
-/// is probed until it has recovered.
+/// the two apart is whether another entry reaches servers of the pool: an entry whose
+/// attempts fail asks a few others, and forwards requests only to those that do. One that
+/// hasn't made a connection lately probes one of the servers that failed. A majority of
+/// the entries may have lost their paths, so their number doesn't count. A lost path is
+/// probed until it has recovered.
 ///
 /// A state machine without I/O. Only an entry with failing attempts sends messages, to a
 /// number of entries that doesn't grow with the fleet.
@@ -94,7 +94,6 @@
     struct pending_query
     {
         core::endpoint from;
-        std::vector<core::server_id> servers;
         absl::Time expires;
     };
     struct pool_reach
--- a/src/health/reach_monitor.cpp
+++ b/src/health/reach_monitor.cpp
@@ -12,11 +12,9 @@
     });
 }
 
-void reach_monitor::count_connected(absl::Time began, const core::server_id& server)
+void reach_monitor::count_connected(absl::Time began)
 {
     last_connected_ = std::max(last_connected_, began);
-    auto& contact = contacted_.try_emplace(server, began).first->second;
-    contact = std::max(contact, began);
     if (!is_lost_) {
         absl::erase_if(
             failures_, [&](const auto& it) { return it.second.began < began; });
@@ -29,9 +27,8 @@
     }
 }
 
-void reach_monitor::count_answered(absl::Time now, const core::server_id& server)
+void reach_monitor::count_answered(absl::Time now)
 {
-    contacted_[server] = now;
     if (!is_lost_) {
         absl::erase_if(failures_, [&](const auto& it) {
             return !it.second.is_connect && it.second.began < now;
@@ -74,9 +71,6 @@
             return now - it.second.last > options_.failure_memory;
         });
     }
-    absl::erase_if(contacted_, [&](const auto& it) {
-        return now - it.second > options_.failure_memory;
-    });
 }
 
 std::vector<core::server_id> reach_monitor::failed_servers() const
@@ -98,11 +92,4 @@
     return out;
 }
 
-absl::Time reach_monitor::last_contact(const core::server_id& server) const
-{
-    const auto found = contacted_.find(server);
-    return found == contacted_.end() || failures_.contains(server) ? absl::InfinitePast()
-                                                                   : found->second;
-}
-
 } // namespace cuminpitch::health
