Report failures only while the path to other servers works

What callers saw: entries that lost their links reported sound servers as failing.

Cause: a failure was reported at once, and only connection timeouts were taken for those of the entry's own path. The class: a fault of the observer that is taken for one of what it observes.

Change: a refused or broken connection is reported once the entry has made a connection to another server, or got a response for those that broke, after it. Failures without such a contact are withdrawn when the path is lost, and dropped after 2 s. A single connection that breaks within 100 ms after it was made needs no other contact. Complete responses that are failures are reported at once, as before.

--- a/include/cuminpitch/health/suspicion.hpp
+++ b/include/cuminpitch/health/suspicion.hpp
@@ -37,6 +37,8 @@
 
     void count_failure(absl::Time now, const core::server_id& server);
     void count_success(const core::server_id& server);
+    /// Removes the record of the server.
+    void clear(const core::server_id& server) { records_.erase(server); }
     void count_shed(absl::Time now, const core::server_id& server);
 
     /// 0 for a server without recent failures; 1 right after a first failure.
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -261,7 +261,7 @@
 void node::impl::send_evidence()
 {
     for (auto& [id, pool] : shared_pools_) {
-        const auto evidence = pool.take_evidence();
+        const auto evidence = pool.take_evidence(now_);
         if (!evidence) {
             continue;
         }
--- a/src/entry/node_reach.cpp
+++ b/src/entry/node_reach.cpp
@@ -23,9 +23,17 @@
         out_.emplace_back(std::move(it));
     }
     for (const auto& id : reach_.take_changed_pools()) {
-        if (shared_pools_.contains(id)) {
-            update_dispatcher(id);
+        const auto pool = shared_pools_.find(id);
+        if (pool == shared_pools_.end()) {
+            continue;
         }
+        if (reach_.is_lost(id)) {
+            metrics_.add(
+                "cuminpitch_failures_withdrawn_total",
+                {{"pool", id.str()}},
+                pool->second.withdraw_unconfirmed());
+        }
+        update_dispatcher(id);
     }
 }
 
--- a/src/entry/shared_pool.cpp
+++ b/src/entry/shared_pool.cpp
@@ -23,6 +23,10 @@
 /// Average time between two requests that take the same slot, at a server where half of
 /// the slots are in use. A report is half an interval old on average.
 constexpr absl::Duration slot_turnover_time = absl::Milliseconds(800);
+/// A connection that was made this short a time ago shows that the path still works.
+constexpr absl::Duration recent_contact_time = absl::Milliseconds(100);
+/// An unconfirmed failure is discarded after this time.
+constexpr absl::Duration confirmation_timeout = absl::Seconds(2);
 
 } // namespace
 
@@ -146,6 +150,7 @@
 void shared_pool::observe(absl::Time now, const request::observation& observed)
 {
     using kind = request::observation::kind;
+    confirm_failures(now, observed);
     if (observed.is_misdirected) {
         if (const auto found = servers_.find(observed.server); found != servers_.end()) {
             found->second.is_replaced = true;
@@ -159,10 +164,7 @@
     case kind::overdue:
     case kind::failure:
         suspicion_.count_failure(now, observed.server);
-        // A network path that fails for this entry may work for others.
-        if (!observed.may_be_path_failure) {
-            ++unsent_failures_[observed.server];
-        }
+        count_failure(now, observed);
         break;
     case kind::shed:
         suspicion_.count_shed(now, observed.server);
@@ -172,6 +174,52 @@
     }
 }
 
+void shared_pool::count_failure(absl::Time now, const request::observation& observed)
+{
+    // A network path that loses packets for this entry may work for others.
+    if (observed.may_be_path_failure) {
+        return;
+    }
+    const bool is_connect = observed.path == request::path_result::not_connected;
+    if (!is_connect && observed.path != request::path_result::broken) {
+        ++unsent_failures_[observed.server];
+        return;
+    }
+    auto& it = unconfirmed_[observed.server];
+    it.began = is_connect ? now - observed.duration : now;
+    it.last = now;
+    it.count += 1;
+    it.is_connect = it.is_connect || is_connect;
+    it.is_recent_contact =
+        observed.is_new_connection && observed.duration <= recent_contact_time;
+}
+
+void shared_pool::confirm_failures(absl::Time now, const request::observation& observed)
+{
+    const absl::Time began = now - observed.duration;
+    const bool is_answered = observed.path == request::path_result::answered;
+    absl::erase_if(unconfirmed_, [&](const auto& each) {
+        const auto& [server, it] = each;
+        const bool has_connected = observed.is_new_connection && began > it.began;
+        const bool has_answered = is_answered && !it.is_connect && now > it.began;
+        if (server == observed.server || (!has_connected && !has_answered)) {
+            return false;
+        }
+        unsent_failures_[server] += it.count;
+        return true;
+    });
+}
+
+std::size_t shared_pool::withdraw_unconfirmed()
+{
+    const std::size_t n = unconfirmed_.size();
+    for (const auto& [server, it] : unconfirmed_) {
+        suspicion_.clear(server);
+    }
+    unconfirmed_.clear();
+    return n;
+}
+
 std::vector<core::server_id> shared_pool::server_ids() const
 {
     std::vector<core::server_id> out;
@@ -203,8 +251,16 @@
     }
 }
 
-std::optional<control::pool_evidence> shared_pool::take_evidence()
+std::optional<control::pool_evidence> shared_pool::take_evidence(absl::Time now)
 {
+    if (unconfirmed_.size() == 1 && unconfirmed_.begin()->second.is_recent_contact) {
+        const auto& [server, it] = *unconfirmed_.begin();
+        unsent_failures_[server] += it.count;
+        unconfirmed_.clear();
+    }
+    absl::erase_if(unconfirmed_, [&](const auto& it) {
+        return now - it.second.last > confirmation_timeout;
+    });
     if (unsent_failures_.empty()) {
         return std::nullopt;
     }
--- a/src/entry/shared_pool_priv.hpp
+++ b/src/entry/shared_pool_priv.hpp
@@ -49,6 +49,9 @@
     }
 
     void observe(absl::Time now, const request::observation& observed);
+    /// Discards the failures that may be those of this entry's network path, which is
+    /// lost. Returns their number.
+    std::size_t withdraw_unconfirmed();
     /// Records the failures and the occupancy that another entry reported.
     void receive(
         absl::Time now,
@@ -56,7 +59,7 @@
         const control::pool_evidence& evidence);
     /// Removes and returns the failures that this entry has observed since the last call,
     /// to be sent to other entries. Empty if there were none.
-    std::optional<control::pool_evidence> take_evidence();
+    std::optional<control::pool_evidence> take_evidence(absl::Time now);
     /// The subset of the failures in `all` whose servers are in `domain`.
     std::vector<control::pool_evidence::server_count> failures_in(
         const core::failure_domain_id& domain, const control::pool_evidence& all) const;
@@ -81,6 +84,8 @@
         bool is_replaced = false;
     };
 
+    void count_failure(absl::Time now, const request::observation& observed);
+    void confirm_failures(absl::Time now, const request::observation& observed);
     /// Returns true if the set of preferred servers changed.
     bool update_preferred(const control::fleet_view& view);
     bool is_cold(absl::Time now, const server& candidate) const;
@@ -96,6 +101,18 @@
     absl::btree_set<core::server_id> preferred_;
     health::suspicion suspicion_;
     absl::btree_map<core::server_id, std::uint32_t> unsent_failures_;
+    /// Failures that a fault of this entry's network path would also cause. They are sent
+    /// to other entries once there has been a contact with another server.
+    struct unconfirmed_failure
+    {
+        absl::Time began;
+        absl::Time last;
+        std::uint32_t count = 0;
+        bool is_connect = false;
+        /// A connection was made shortly before, so that the path worked then.
+        bool is_recent_contact = false;
+    };
+    absl::btree_map<core::server_id, unconfirmed_failure> unconfirmed_;
     struct occupancy
     {
         absl::Time received;
--- a/tests/entry/shared_pool_test.cpp
+++ b/tests/entry/shared_pool_test.cpp
@@ -90,15 +90,15 @@
 {
     list_servers({make_server("s1", "a")});
     pool.observe(now, make_failure("s1"));
-    const auto evidence = pool.take_evidence();
+    const auto evidence = pool.take_evidence(now);
     ASSERT_TRUE(evidence.has_value());
-    EXPECT_FALSE(pool.take_evidence().has_value());
+    EXPECT_FALSE(pool.take_evidence(now).has_value());
 
     shared_pool other{pool_p, core::failure_domain_id("b")};
     other.set_view(now, view);
     other.receive(now, {"10.1.0.1", 1}, *evidence);
     EXPECT_GE(other.update(now).servers[0].suspicion, 1);
-    EXPECT_FALSE(other.take_evidence().has_value())
+    EXPECT_FALSE(other.take_evidence(now).has_value())
         << "received failures are not sent on";
 }
 
@@ -111,7 +111,60 @@
     observed.may_be_path_failure = true;
     pool.observe(now, observed);
     EXPECT_GE(servers()[0].suspicion, 1);
-    EXPECT_FALSE(pool.take_evidence().has_value());
+    EXPECT_FALSE(pool.take_evidence(now).has_value());
+}
+
+// Guards against an entry without links that makes all others avoid sound servers.
+TEST_F(shared_pool_test, reports_a_broken_connection_after_a_contact_with_another_server)
+{
+    list_servers(
+        {make_server("s1", "a"), make_server("s2", "a"), make_server("s3", "a")});
+    auto reset = make_failure("s1");
+    reset.path = request::path_result::broken;
+    pool.observe(now, reset);
+    reset.server = core::server_id("s2");
+    pool.observe(now, reset);
+    EXPECT_FALSE(pool.take_evidence(now).has_value());
+    now += absl::Milliseconds(10);
+    auto success = make_failure("s3");
+    success.what = request::observation::kind::success;
+    success.path = request::path_result::answered;
+    pool.observe(now, success);
+    const auto evidence = pool.take_evidence(now);
+    ASSERT_TRUE(evidence.has_value());
+    EXPECT_EQ(evidence->failures.size(), 2U);
+}
+
+// Guards against responses on open connections that confirm refused new connections.
+TEST_F(shared_pool_test, reports_a_refused_connection_after_another_one_was_made)
+{
+    list_servers({make_server("s1", "a"), make_server("s2", "a")});
+    auto refused = make_failure("s1");
+    refused.path = request::path_result::not_connected;
+    pool.observe(now, refused);
+    now += absl::Milliseconds(10);
+    auto success = make_failure("s2");
+    success.what = request::observation::kind::success;
+    success.path = request::path_result::answered;
+    pool.observe(now, success);
+    EXPECT_FALSE(pool.take_evidence(now).has_value());
+    success.is_new_connection = true;
+    success.duration = absl::Milliseconds(5);
+    pool.observe(now, success);
+    EXPECT_TRUE(pool.take_evidence(now).has_value());
+}
+
+// Guards against failures of a lost path that count against servers after it is back.
+TEST_F(shared_pool_test, withdraws_failures_of_a_lost_path)
+{
+    list_servers({make_server("s1", "a"), make_server("s2", "a")});
+    auto refused = make_failure("s1");
+    refused.path = request::path_result::not_connected;
+    pool.observe(now, refused);
+    EXPECT_GE(servers()[0].suspicion, 1);
+    EXPECT_EQ(pool.withdraw_unconfirmed(), 1U);
+    EXPECT_EQ(servers()[0].suspicion, 0);
+    EXPECT_FALSE(pool.take_evidence(now).has_value());
 }
 
 // Guards against two entries that overload a server because each counts only its own
