Close connections of peers that vanished after 20 s

Cause: a connection that a peer opened was probed by the kernel's defaults, first after two hours, and without a user timeout. Nothing is sent on it, so an entry that lost its machine left a descriptor at each entry and control instance that it had talked to.

Change: the first probe comes after 10 s, further ones each 3 s, and TCP_USER_TIMEOUT (20 s) decides when they give up, as it does on Linux whatever their count. Connections that this process opens keep theirs of 1.5 s.

Measured: the options of a live connection, by getsockopt (before: user timeout 0, first probe after 7,200 s). That a silent peer is given up after 20 s has not been timed, as loopback can't drop packets without root.

--- a/src/net/tcp_transport.cpp
+++ b/src/net/tcp_transport.cpp
@@ -35,6 +35,13 @@
 /// commit.
 constexpr unsigned user_timeout_ms = 1500;
 
+/// A connection that a peer opened is silent for as long as the peer has nothing to send.
+/// It is probed, and closed if the peer's kernel has not answered for the user timeout,
+/// which takes precedence over the number of probes.
+constexpr unsigned keepalive_idle_s = 10;
+constexpr unsigned keepalive_interval_s = 3;
+constexpr unsigned inbound_user_timeout_ms = 20'000;
+
 constexpr auto last_channel = static_cast<std::uint8_t>(channel::group);
 
 sockaddr_in to_sockaddr(const core::endpoint& it)
@@ -274,6 +281,9 @@
         }
         const int raw = fd.get();
         set_option(raw, SOL_SOCKET, SO_KEEPALIVE, 1);
+        set_option(raw, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
+        set_option(raw, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
+        set_option(raw, IPPROTO_TCP, TCP_USER_TIMEOUT, inbound_user_timeout_ms);
         watch(raw, EPOLLIN, EPOLL_CTL_ADD);
         inbounds.emplace(
             raw, inbound{std::move(fd), frame_reader(options.max_frame_bytes), {}});
--- a/tests/net/tcp_transport_test.cpp
+++ b/tests/net/tcp_transport_test.cpp
@@ -1,11 +1,16 @@
 #include "cuminpitch/net/tcp_transport.hpp"
 
 #include "net/frame_codec_priv.hpp"
+#include "support/open_sockets.hpp"
 
 #include <absl/synchronization/mutex.h>
 #include <absl/time/clock.h>
 #include <gtest/gtest.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <vector>
 
 namespace cuminpitch::net {
@@ -143,6 +148,28 @@
     EXPECT_EQ(b.payload(0), "arrives");
 }
 
+// Guards against connections of peers that vanished, which stay open for two hours.
+TEST(tcp_transport, gives_up_connections_of_peers_that_vanished)
+{
+    constexpr int max_silence_ms = 30'000;
+    constexpr std::uint16_t port = 21410;
+    node a("a", 21409);
+    node b("b", port);
+    a.send(b, "x");
+    ASSERT_TRUE(b.wait_for(1));
+    const auto accepted = testing::accepted_at(port);
+    ASSERT_EQ(accepted.size(), 1U);
+    const int fd = accepted.front();
+    const auto timeout_ms = testing::socket_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT);
+    EXPECT_EQ(testing::socket_option(fd, SOL_SOCKET, SO_KEEPALIVE), 1);
+    EXPECT_GT(timeout_ms, 0);
+    EXPECT_LE(timeout_ms, max_silence_ms);
+    // At least two probes are sent before the user timeout ends.
+    const auto idle_s = testing::socket_option(fd, IPPROTO_TCP, TCP_KEEPIDLE);
+    const auto interval_s = testing::socket_option(fd, IPPROTO_TCP, TCP_KEEPINTVL);
+    EXPECT_LE(1000 * (idle_s + 2 * interval_s), timeout_ms);
+}
+
 TEST(frame_reader, waits_for_whole_frames_and_rejects_too_long_ones)
 {
     frame_reader reader(8);
