--- a/tests/entry/simulated_fleet.hpp
+++ b/tests/entry/simulated_fleet.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -109,6 +110,8 @@
     /// How often servers ran each request.
     const std::map<std::string, std::size_t>& executions() const { return executions_; }
     std::size_t hops() const { return hops_; }
+    /// Requests of callers whose entry was restarted before it responded.
+    std::size_t lost_requests() const { return lost_requests_; }
 
     /// Counters of all entries together.
     const telemetry::metrics& metrics() const { return metrics_; }
@@ -164,6 +167,7 @@
         http::client_result result);
     void cancel(std::size_t entry, call_id call);
     void drop_calls(std::size_t entry);
+    void end_hops(const std::function<bool(const call_key&)>& is_ended);
     void respond(const action::http_respond& responded);
     void start(std::size_t entry);
     absl::Time next_input() const;
@@ -196,6 +200,7 @@
     std::set<std::pair<std::size_t, core::endpoint>> idle_connections_;
     std::map<std::string, std::size_t> executions_;
     std::size_t hops_ = 0;
+    std::size_t lost_requests_ = 0;
     std::vector<response> responses_;
     std::size_t sent_to_full_ = 0;
     absl::Time now_ = absl::FromUnixSeconds(1000);
