--- a/src/entry/server_reach.cpp
+++ b/src/entry/server_reach.cpp
@@ -163,6 +163,7 @@
     }
     pool.was_lost = is_lost;
     changed_.insert(id);
+    metrics_.set("cuminpitch_path_is_lost", is_lost ? 1 : 0, {{"pool", id.str()}});
     if (is_lost) {
         metrics_.add("cuminpitch_paths_lost_total", {{"pool", id.str()}});
     } else {
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -168,6 +168,9 @@
     teams_.add(request.pool->id.team);
     live_[request.id] = std::move(arrived);
     set_timer(request, request.deadline);
+    if (request.is_from_entry) {
+        counters_.add("cuminpitch_requests_from_entries_total", pool_label(request));
+    }
     // The entry that sends the request to a server counts it.
     if (!request.needs_forwarding || !request.pool->every_entry) {
         pool_of(request)->budget().count_request(now_);
