Send no requests to servers that leave or ask to be left alone

What callers saw: requests to a server that was about to go, and rejections by servers that had asked for a pause.

Cause: an entry ignored both statements. Retry-After was parsed into a field that nothing read.

A server that is closed by either is not chosen for requests, retries, probes or probation. A pool whose servers are all closed refuses at once with servers-closed and a Retry-After from the time at which the first one opens. A hold-off isn't evidence of a failure.

Not shown: that the return of many entries to a server brings it no more than its slots.

--- a/include/cuminpitch/control/sync.hpp
+++ b/include/cuminpitch/control/sync.hpp
@@ -165,6 +165,25 @@
     friend bool operator==(const rate_news&, const rate_news&) = default;
 };
 
+/// A server that has said that it is leaving.
+struct leaving_server
+{
+    core::pool_id pool;
+    core::server_id server;
+    std::uint64_t incarnation = 0;
+
+    friend bool operator==(const leaving_server&, const leaving_server&) = default;
+};
+
+/// Spreads that servers are leaving among the entries. Also sent in reply to a rate_news
+/// that wants one, which an entry sends when it starts.
+struct leaving_news
+{
+    std::vector<leaving_server> servers;
+
+    friend bool operator==(const leaving_news&, const leaving_news&) = default;
+};
+
 /// Sent by an entry that can't connect to these servers of a pool, to find entries that
 /// can and to which it may forward requests.
 struct reach_query
@@ -216,6 +235,7 @@
     permit_response,
     rate_news,
     reach_query,
-    reach_report>;
+    reach_report,
+    leaving_news>;
 
 } // namespace cuminpitch::control
--- a/include/cuminpitch/request/dialect.hpp
+++ b/include/cuminpitch/request/dialect.hpp
@@ -18,6 +18,8 @@
     /// Response header by which a server names the requests per second that it accepts
     /// from all entries together. It is in force for as long as responses carry it.
     std::string max_rate = "Cuminpitch-Max-Rate";
+    /// Response header with the value 1 by which a server states that it is leaving.
+    std::string leaving = "Cuminpitch-Leaving";
     /// Request header that names the intended server. Any other server answers with
     /// `misdirected_status` and doesn't run the request. Not sent if empty.
     std::string target_server;
--- a/include/cuminpitch/request/events.hpp
+++ b/include/cuminpitch/request/events.hpp
@@ -8,6 +8,7 @@
 #include "cuminpitch/http/message.hpp"
 #include "cuminpitch/request/rate_statement.hpp"
 #include "cuminpitch/request/refusal_reason.hpp"
+#include "cuminpitch/request/server_notice.hpp"
 #include "cuminpitch/telemetry/log.hpp"
 
 #include <absl/time/time.h>
@@ -65,6 +66,9 @@
     /// Start time of the server. Another one at the same id is another server.
     std::uint64_t incarnation = 0;
     std::optional<server_limit> limit;
+    /// The server wants no requests from this entry before this time; infinite future if
+    /// it is leaving.
+    absl::Time closed_until = absl::InfinitePast();
 };
 
 /// An assigned entry of a pool, other than this one.
@@ -231,6 +235,7 @@
     bool is_misdirected = false;
     /// What the response says about the server's rate limit.
     rate_statement max_rate;
+    server_notice notice;
 };
 
 struct observe
--- a/include/cuminpitch/request/refusal_reason.hpp
+++ b/include/cuminpitch/request/refusal_reason.hpp
@@ -23,7 +23,8 @@
     queue_full,      ///< The pool's queue is full.
     caller_share,    ///< The caller has reached its share of the queue.
     expected_wait,   ///< The deadline would pass before the request could finish.
-    rate_limited, ///< The same, because of the rate limits that the servers have named.
+    rate_limited,   ///< The same, because of the rate limits that the servers have named.
+    servers_closed, ///< All servers are leaving or want no requests from this entry now.
     deadline_in_queue, ///< The deadline passed in the queue, or too little time was left.
     connect_failed,    ///< No connection to a backend server was made.
     shed,              ///< Backend servers reported that they didn't run the request.
@@ -57,6 +58,7 @@
     refusal_reason::caller_share,
     refusal_reason::expected_wait,
     refusal_reason::rate_limited,
+    refusal_reason::servers_closed,
     refusal_reason::deadline_in_queue,
     refusal_reason::connect_failed,
     refusal_reason::shed,
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -93,6 +93,7 @@
 
 void node::impl::finish(const probe_call& probe, http::client_result& result)
 {
+    observe_notice(probe.pool, probe.server, result);
     const bool success =
         result.failure == http::failure::none && result.response.status < 400;
     if (const auto it = pools_.find(probe.pool); it != pools_.end()) {
@@ -146,6 +147,11 @@
         limits_.receive(now_, from, *it);
     } else if (const auto* it = std::get_if<control::rate_news>(&message.value())) {
         limits_.receive(now_, from, *it);
+        if (it->wants_reply) {
+            notices_.reply_to(from.internal);
+        }
+    } else if (const auto* it = std::get_if<control::leaving_news>(&message.value())) {
+        notices_.receive(now_, *it);
     } else if (const auto* it = std::get_if<control::reach_query>(&message.value())) {
         reach_.receive(now_, from, *it);
     } else if (const auto* it = std::get_if<control::reach_report>(&message.value())) {
@@ -185,6 +191,7 @@
     flush_reach();
     tick_shared_pools();
     limits_.tick(now_);
+    notices_.tick(now_);
     if (now_ >= next_presence_ || paths_.is_impaired(now_) != was_impaired_) {
         send_presence();
     }
@@ -253,6 +260,8 @@
         observed.what.server,
         now_ - observed.what.duration,
         observed.what.max_rate);
+    notices_.observe(
+        now_, observed.what.pool, observed.what.server, observed.what.notice);
     if (const auto pool = shared_pools_.find(observed.what.pool);
         pool != shared_pools_.end()) {
         pool->second.observe(now_, observed.what);
@@ -286,6 +295,10 @@
 
 void node::impl::run(const core::pool_id& pool, health::action::start_probe& start)
 {
+    if (!notices_.is_open(now_, pool, start.server)) {
+        pools_.at(pool)->health().probe_finished(now_, start.server, false);
+        return;
+    }
     http::client_request probe;
     probe.to = start.address;
     probe.method = "GET";
--- a/src/entry/node_impl_priv.hpp
+++ b/src/entry/node_impl_priv.hpp
@@ -11,6 +11,7 @@
 #include "entry/failure_relay_priv.hpp"
 #include "entry/pool_runtime_priv.hpp"
 #include "entry/rate_limits_priv.hpp"
+#include "entry/server_notices_priv.hpp"
 #include "entry/server_reach_priv.hpp"
 #include "entry/shared_pool_priv.hpp"
 #include "entry/status_priv.hpp"
@@ -63,7 +64,8 @@
               metrics),
           relay_(options_.self),
           limits_(options_.self, core::random_source(options_.seed + 2), metrics),
-          reach_(options_.self, core::random_source(options_.seed + 3), metrics)
+          reach_(options_.self, core::random_source(options_.seed + 3), metrics),
+          notices_(options_.self, core::random_source(options_.seed + 4), metrics)
     {
     }
 
@@ -76,6 +78,7 @@
         std::visit([&](auto& event) { on(event); }, input);
         apply_view();
         flush_reach();
+        flush_notices();
         flush_limits();
         return std::exchange(out_, {});
     }
@@ -187,11 +190,17 @@
     void update_dispatcher(const core::pool_id& pool);
     /// Updates the dispatcher with the pool and the rate limits of its servers.
     void update_dispatcher(request::pool_update update);
+    void update_dispatcher_of(const core::pool_id& id);
     void dispatch_waiting();
     void send_presence();
     /// Sends the messages of the rate limits, and updates the pools whose servers are
     /// affected.
     void flush_limits();
+    void flush_notices();
+    void observe_notice(
+        const core::pool_id& pool,
+        const core::server_id& server,
+        const http::client_result& result);
     /// Sends messages and probes that find out about network paths to servers, and
     /// updates the pools of which one was lost or has recovered.
     void flush_reach();
@@ -224,6 +233,7 @@
     failure_relay relay_;
     rate_limits limits_;
     server_reach reach_;
+    server_notices notices_;
     /// Revision in which the declarations last changed, or a later one.
     core::revision declared_;
     /// Pools for which other entries have sent evidence since the last tick.
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -113,6 +113,7 @@
             entries.push_back(record);
         }
         reach_.set_entries(entries);
+        notices_.set_entries(entries);
         limits_.set_entries(std::move(entries));
     }
     for (const auto& [id, declared] : view_->declarations->pools) {
@@ -170,10 +171,49 @@
 void node::impl::update_dispatcher(request::pool_update update)
 {
     limits_.apply(now_, update);
+    notices_.apply(update);
     reach_.apply(update);
     run_all(dispatcher_.update_pool(now_, std::move(update)));
 }
 
+void node::impl::flush_notices()
+{
+    for (auto& it : notices_.take_messages()) {
+        out_.push_back(send_message(it.to, it.message));
+    }
+    for (auto& it : notices_.take_log()) {
+        out_.emplace_back(std::move(it));
+    }
+    for (const auto& id : notices_.take_changed_pools()) {
+        update_dispatcher_of(id);
+    }
+}
+
+/// Records what the response to a probe says.
+void node::impl::observe_notice(
+    const core::pool_id& pool,
+    const core::server_id& server,
+    const http::client_result& result)
+{
+    if (result.failure == http::failure::none) {
+        notices_.observe(
+            now_,
+            pool,
+            server,
+            request::read_server_notice(result.response, options_.dialect));
+    }
+}
+
+/// Updates the dispatcher if this entry serves the pool.
+void node::impl::update_dispatcher_of(const core::pool_id& id)
+{
+    if (shared_pools_.contains(id)) {
+        update_dispatcher(id);
+    } else if (const auto it = pools_.find(id); it != pools_.end()) {
+        update_dispatcher(it->second->update(now_, *view_));
+    }
+}
+
 void node::impl::flush_limits()
 {
     // Updating a pool may send requests, which in turn may request permits.
@@ -189,11 +229,7 @@
             return;
         }
         for (const auto& id : changed) {
-            if (shared_pools_.contains(id)) {
-                update_dispatcher(id);
-            } else if (const auto it = pools_.find(id); it != pools_.end()) {
-                update_dispatcher(it->second->update(now_, *view_));
-            }
+            update_dispatcher_of(id);
         }
     }
 }
--- a/src/entry/node_reach.cpp
+++ b/src/entry/node_reach.cpp
@@ -44,7 +44,7 @@
         return;
     }
     const auto address = pool->second.address_of(it.server);
-    if (!address) {
+    if (!address || !notices_.is_open(now_, it.pool, it.server)) {
         return;
     }
     http::client_request probe;
@@ -61,6 +61,7 @@
 /// A server that accepts a connection and doesn't respond has been reached.
 void node::impl::finish(const path_probe& probe, http::client_result& result)
 {
+    observe_notice(probe.pool, probe.server, result);
     reach_.observe_probe(
         now_,
         probe.began,
--- /dev/null
+++ b/src/entry/server_notices.cpp
@@ -0,0 +1,195 @@
+#include "entry/server_notices_priv.hpp"
+
+#include <algorithm>
+
+namespace cuminpitch::entry {
+namespace {
+
+/// As for rate limits: news that each entry passes on to six others reach all but one in
+/// 400 (e^-6).
+constexpr std::size_t news_fan_out = 6;
+/// Records of servers that are not listed are kept, as control may list them again.
+constexpr absl::Duration unlisted_record_time = absl::Minutes(5);
+
+} // namespace
+
+server_notices::server_notices(
+    control::entry_record self, core::random_source random, telemetry::metrics& metrics)
+    : self_(std::move(self)), random_(random), metrics_(metrics)
+{
+}
+
+void server_notices::set_entries(std::vector<control::entry_record> entries)
+{
+    entries_ = std::move(entries);
+    std::erase_if(entries_, [&](const auto& it) { return it.id == self_.id; });
+}
+
+std::optional<std::uint64_t>
+server_notices::listed_incarnation(const server_key& key) const
+{
+    const auto pool = listed_.find(key.first);
+    if (pool == listed_.end()) {
+        return std::nullopt;
+    }
+    const auto it = std::lower_bound(
+        pool->second.begin(), pool->second.end(), key.second, [](const auto& a, auto& b) {
+            return a.first < b;
+        });
+    const bool is_listed = it != pool->second.end() && it->first == key.second;
+    return is_listed ? std::optional(it->second) : std::nullopt;
+}
+
+server_notices::record& server_notices::record_of(
+    absl::Time now, const server_key& key, std::uint64_t incarnation)
+{
+    auto& it = records_[key];
+    if (it.incarnation < incarnation) {
+        it = {incarnation, false, absl::InfinitePast(), now};
+    }
+    return it;
+}
+
+void server_notices::observe(
+    absl::Time now,
+    const core::pool_id& pool,
+    const core::server_id& server,
+    const request::server_notice& said)
+{
+    if (said.is_leaving_malformed) {
+        count_malformed(pool, "leaving");
+    }
+    if (said.is_hold_off_malformed) {
+        count_malformed(pool, "hold-off");
+    }
+    const server_key key(pool, server);
+    const auto incarnation = listed_incarnation(key);
+    if (!incarnation || said == request::server_notice{}) {
+        return;
+    }
+    if (said.hold_off > absl::ZeroDuration()) {
+        auto& it = record_of(now, key, *incarnation);
+        it.open_from = std::max(it.open_from, now + said.hold_off);
+        metrics_.add("cuminpitch_hold_offs_total", {{"pool", pool.str()}});
+        log_.push_back(
+            {telemetry::severity::info,
+             "server asks to be left alone",
+             {{"pool", pool.str()},
+              {"server", server.str()},
+              {"hold_off_ms", absl::ToInt64Milliseconds(said.hold_off)}}});
+        changed_.insert(pool);
+    }
+    const control::leaving_server leaving{pool, server, *incarnation};
+    if (said.is_leaving && learn_leaving(now, leaving)) {
+        spread(leaving);
+    }
+}
+
+bool server_notices::learn_leaving(absl::Time now, const control::leaving_server& news)
+{
+    const server_key key(news.pool, news.server);
+    auto& it = record_of(now, key, news.incarnation);
+    if (it.is_leaving || it.incarnation != news.incarnation) {
+        return false;
+    }
+    it.is_leaving = true;
+    changed_.insert(news.pool);
+    metrics_.add("cuminpitch_leaving_servers_total", {{"pool", news.pool.str()}});
+    log_.push_back(
+        {telemetry::severity::info,
+         "server is leaving",
+         {{"pool", news.pool.str()}, {"server", news.server.str()}}});
+    return true;
+}
+
+void server_notices::spread(const control::leaving_server& it)
+{
+    absl::btree_set<std::size_t> chosen;
+    const auto n = std::min(news_fan_out, entries_.size());
+    while (chosen.size() < n) {
+        chosen.insert(random_() % entries_.size());
+    }
+    for (const auto index : chosen) {
+        send(entries_[index].internal, control::leaving_news{{it}});
+    }
+}
+
+void server_notices::receive(absl::Time now, const control::leaving_news& it)
+{
+    for (const auto& each : it.servers) {
+        if (learn_leaving(now, each)) {
+            spread(each);
+        }
+    }
+}
+
+void server_notices::reply_to(const core::endpoint& starting)
+{
+    control::leaving_news reply;
+    for (const auto& [key, known] : records_) {
+        if (known.is_leaving) {
+            reply.servers.push_back({key.first, key.second, known.incarnation});
+        }
+    }
+    if (!reply.servers.empty()) {
+        send(starting, std::move(reply));
+    }
+}
+
+void server_notices::tick(absl::Time now)
+{
+    for (auto& [key, it] : records_) {
+        if (listed_incarnation(key)) {
+            it.last_listed = now;
+        }
+        if (it.open_from != absl::InfinitePast() && now >= it.open_from) {
+            it.open_from = absl::InfinitePast();
+            changed_.insert(key.first);
+        }
+    }
+    absl::erase_if(records_, [&](const auto& it) {
+        const bool says_nothing =
+            !it.second.is_leaving && it.second.open_from == absl::InfinitePast();
+        return says_nothing || now - it.second.last_listed > unlisted_record_time;
+    });
+}
+
+void server_notices::apply(request::pool_update& update)
+{
+    auto& listed = listed_[update.pool];
+    listed.clear();
+    for (auto& server : update.servers) {
+        listed.emplace_back(server.id, server.incarnation);
+        const server_key key(update.pool, server.id);
+        const auto found = records_.find(key);
+        if (found == records_.end() || found->second.incarnation != server.incarnation) {
+            continue;
+        }
+        const auto& it = found->second;
+        server.closed_until = it.is_leaving ? absl::InfiniteFuture() : it.open_from;
+    }
+}
+
+bool server_notices::is_open(
+    absl::Time now, const core::pool_id& pool, const core::server_id& server) const
+{
+    const server_key key(pool, server);
+    const auto found = records_.find(key);
+    if (found == records_.end() || found->second.incarnation != listed_incarnation(key)) {
+        return true;
+    }
+    return !found->second.is_leaving && now >= found->second.open_from;
+}
+
+void server_notices::count_malformed(const core::pool_id& pool, const char* what)
+{
+    metrics_.add(
+        "cuminpitch_malformed_notices_total", {{"pool", pool.str()}, {"notice", what}});
+}
+
+void server_notices::send(const core::endpoint& to, control::message it)
+{
+    out_.push_back({to, std::move(it)});
+}
+
+} // namespace cuminpitch::entry
--- a/src/request/attempt_outcome.cpp
+++ b/src/request/attempt_outcome.cpp
@@ -3,10 +3,6 @@
 #include "header_rules_priv.hpp"
 #include "messages_priv.hpp"
 
-#include <absl/strings/numbers.h>
-
-#include <algorithm>
-
 namespace cuminpitch::request {
 namespace {
 
@@ -19,16 +15,6 @@
 constexpr int gateway_timeout = 504;
 constexpr int first_client_error = 400;
 constexpr int first_server_error = 500;
-constexpr int max_retry_after_s = 60;
-
-absl::Duration retry_after(const http::response& it)
-{
-    int seconds = 0;
-    if (!absl::SimpleAtoi(it.headers.get("Retry-After"), &seconds)) {
-        return absl::Seconds(1);
-    }
-    return absl::Seconds(std::clamp(seconds, 0, max_retry_after_s));
-}
 
 bool says_not_run(const http::response& it, const dialect& names)
 {
@@ -86,11 +72,14 @@
         return out;
     }
     out.max_rate = stated_rate(it, names);
+    out.notice = read_server_notice(it, names);
     if (says_not_run(it, names)) {
         out.failure = refusal_reason::shed;
         out.verdict = core::verdict::not_run;
-        out.evidence = observation::kind::shed;
-        out.retry_after = retry_after(it);
+        // A server that asks to be left alone is not chosen meanwhile, and not sick.
+        out.evidence = out.notice.hold_off > absl::ZeroDuration()
+                           ? observation::kind::none
+                           : observation::kind::shed;
         return out;
     }
     const bool sheds = (it.status == unavailable || it.status == too_many_requests) &&
--- a/src/request/attempt_outcome_priv.hpp
+++ b/src/request/attempt_outcome_priv.hpp
@@ -19,10 +19,10 @@
     bool is_failure_status = false;
     core::verdict verdict = core::verdict::ran;
     observation::kind evidence = observation::kind::none;
-    absl::Duration retry_after = absl::ZeroDuration();
     bool may_be_path_failure = false; ///< As in `observation`.
     bool is_misdirected = false;      ///< As in `observation`.
     rate_statement max_rate;          ///< As in `observation`.
+    server_notice notice;             ///< As in `observation`.
 };
 
 /// Classifies the result of an attempt. `service_time` is the pool's mean service time: a
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -44,7 +44,7 @@
     }
     removed_.erase(id);
     pool->update(std::move(it));
-    if (pool->is_rate_limited()) {
+    if (pool->is_rate_limited(now_)) {
         rate_limited_pools_.insert(id);
     } else {
         rate_limited_pools_.erase(id);
@@ -262,8 +262,11 @@
 std::optional<refusal_reason> dispatcher::impl::enqueue(live_request& it)
 {
     pool_state& pool = *pool_of(it);
+    if (pool.is_closed(now_)) {
+        return refusal_reason::servers_closed;
+    }
     if (it.is_retry()) {
-        if (pool.is_rate_limited()) {
+        if (pool.is_rate_limited(now_)) {
             if (const auto why =
                     pool.check_wait(now_, it, pool.expected_wait(now_, it.caller))) {
                 return why;
@@ -293,6 +296,12 @@
 
 void dispatcher::impl::dispatch_queued(pool_state& pool)
 {
+    if (pool.is_closed(now_)) {
+        for (const request_id waiting : pool.queue().drain()) {
+            conclude(*live_.at(waiting), refusal_reason::servers_closed);
+        }
+        return;
+    }
     while (pool.queue().size() > 0 && pool.has_free_slot()) {
         const server_view* server = nullptr;
         const auto fits = [&](const core::caller_id&, request_id id) {
@@ -323,6 +332,9 @@
 const server_view* dispatcher::impl::pick_server(live_request& it, std::uint32_t count)
 {
     const auto choice = pool_of(it)->pick(now_, it, random_);
+    if (choice.closed != nullptr) {
+        explain_closed(it, *choice.closed);
+    }
     for (const server_view* each : choice.withheld) {
         out_.emplace_back(want_permits{it.pool->id, each->id, count});
         explain_withheld(it, *each);
--- a/src/request/dispatcher_attempts.cpp
+++ b/src/request/dispatcher_attempts.cpp
@@ -244,6 +244,8 @@
         !result.reused_connection && result.verdict != core::verdict::not_run;
     seen.is_misdirected = outcome.is_misdirected;
     seen.max_rate = outcome.max_rate;
+    seen.notice = outcome.notice;
+    pool.close(now_, it.server, outcome.notice);
     out_.emplace_back(observe{std::move(seen)});
     counters_.record("cuminpitch_attempt_seconds", result.elapsed, pool_label(it));
     if (outcome.evidence == observation::kind::success) {
@@ -295,7 +297,8 @@
     } else if (lacks_time(it, pool)) {
         why = "deadline";
     } else if (
-        !pool.last_update().is_assigned || (!may_forward && !pool.has_untried(it))) {
+        !pool.last_update().is_assigned ||
+        (!may_forward && !pool.has_untried(now_, it))) {
         why = "no-other-server";
     } else if (!has_attempts_left(it)) {
         why = "attempts-spent";
--- a/src/request/dispatcher_impl_priv.hpp
+++ b/src/request/dispatcher_impl_priv.hpp
@@ -82,6 +82,7 @@
         const live_request& it, std::string what, std::vector<telemetry::field> inputs);
     void explain_send(const live_request& it, const server_view& server);
     void explain_withheld(live_request& it, const server_view& server);
+    void explain_closed(live_request& it, const server_view& server);
     void explain_result(
         const live_request& it,
         const http::client_result& result,
--- a/src/request/dispatcher_responses.cpp
+++ b/src/request/dispatcher_responses.cpp
@@ -173,6 +173,21 @@
          {"granted_by", server.limit->granted_by}});
 }
 
+void dispatcher::impl::explain_closed(live_request& it, const server_view& server)
+{
+    if (std::exchange(it.is_closed_explained, true)) {
+        return;
+    }
+    const bool is_leaving = server.closed_until == absl::InfiniteFuture();
+    const auto left = is_leaving ? absl::ZeroDuration() : server.closed_until - now_;
+    explain_decision(
+        it,
+        "server left out",
+        {{"server", server.id.str()},
+         {"reason", std::string(is_leaving ? "leaving" : "hold-off")},
+         {"hold_off_left_ms", absl::ToInt64Milliseconds(left)}});
+}
+
 /// Retry-After for a pool without queued requests. It was the servers that refused, and
 /// each of them may accept the next request: a slot becomes free after a fraction of the
 /// service time. Randomized, so that callers don't retry at the same time.
@@ -198,7 +213,16 @@
     }
     const pool_state* pool = it.pool == nullptr ? nullptr : pool_of(it);
     const bool has_queue = pool != nullptr && pool->queue().size() > 0;
-    if (pool != nullptr && pool->is_rate_limited()) {
+    if (pool != nullptr && pool->is_closed(now_) &&
+        pool->first_open() != absl::InfiniteFuture()) {
+        // The longer the callers were refused, the more of them return.
+        constexpr std::uint64_t spread_divisor = 4;
+        constexpr std::uint64_t steps = 1000;
+        const auto wait = pool->first_open() - now_;
+        const auto spread = wait / spread_divisor * (retry_random_() % steps) / steps;
+        return wait + jittered_retry_after() + spread;
+    }
+    if (pool != nullptr && pool->is_rate_limited(now_)) {
         const auto wait = pool->expected_wait(now_, it.caller) + jittered_retry_after();
         return std::clamp(wait, min_retry_after, max_retry_after);
     }
--- a/src/request/live_request_priv.hpp
+++ b/src/request/live_request_priv.hpp
@@ -65,6 +65,8 @@
 
     /// A server was left out because of its rate limit.
     bool is_withheld = false;
+    /// A server that wants no requests was left out, which has been logged.
+    bool is_closed_explained = false;
 
     bool is_retry() const { return !tried.empty() || !tried_entries.empty(); }
 };
--- a/src/request/pool_state.cpp
+++ b/src/request/pool_state.cpp
@@ -83,9 +83,11 @@
     last_update_ = std::move(it);
 }
 
-bool pool_state::is_eligible(const server_slots& it, const live_request& request) const
+bool pool_state::is_eligible(
+    absl::Time now, const server_slots& it, const live_request& request) const
 {
-    if (!it.is_listed || it.view.slots == 0 || was_tried(request, it.view.id)) {
+    if (!it.is_listed || it.view.slots == 0 || now < it.view.closed_until ||
+        was_tried(request, it.view.id)) {
         return false;
     }
     return !it.view.probation || request.route->idempotent || !has_idempotent_route_;
@@ -128,7 +130,10 @@
     choice out;
     for (const auto& server : servers_) {
         const std::uint32_t max_in_flight = server.view.probation ? 1 : server.view.slots;
-        if (!is_eligible(server, it) || server.in_flight >= max_in_flight) {
+        if (server.is_listed && now < server.view.closed_until) {
+            out.closed = &server.view;
+        }
+        if (!is_eligible(now, server, it) || server.in_flight >= max_in_flight) {
             continue;
         }
         if (allows_request(now, server.view)) {
@@ -155,10 +160,10 @@
     return out;
 }
 
-bool pool_state::has_untried(const live_request& it) const
+bool pool_state::has_untried(absl::Time now, const live_request& it) const
 {
     return std::any_of(servers_.begin(), servers_.end(), [&](const auto& server) {
-        return is_eligible(server, it);
+        return is_eligible(now, server, it);
     });
 }
 
@@ -166,7 +171,7 @@
     absl::Time now, const live_request& it, const core::server_id& server) const
 {
     return std::any_of(servers_.begin(), servers_.end(), [&](const auto& other) {
-        return other.view.id != server && is_eligible(other, it) &&
+        return other.view.id != server && is_eligible(now, other, it) &&
                allows_request(now, other.view);
     });
 }
@@ -186,14 +191,43 @@
     });
 }
 
-bool pool_state::is_rate_limited() const
+bool pool_state::is_rate_limited(absl::Time now) const
 {
-    return has_servers() &&
-           std::all_of(servers_.begin(), servers_.end(), [](const auto& it) {
-               return !it.is_listed || it.view.slots == 0 || it.view.limit;
+    return has_servers() && !is_closed(now) &&
+           std::all_of(servers_.begin(), servers_.end(), [&](const auto& it) {
+               return !it.is_listed || it.view.slots == 0 || it.view.limit ||
+                      now < it.view.closed_until;
            });
 }
 
+void pool_state::close(
+    absl::Time now, const core::server_id& server, const server_notice& notice)
+{
+    const auto it = std::find_if(servers_.begin(), servers_.end(), [&](const auto& each) {
+        return each.view.id == server;
+    });
+    const auto until = notice.is_leaving ? absl::InfiniteFuture() : now + notice.hold_off;
+    if (it != servers_.end()) {
+        it->view.closed_until = std::max(it->view.closed_until, until);
+    }
+}
+
+bool pool_state::is_closed(absl::Time now) const
+{
+    return has_servers() && now < first_open();
+}
+
+absl::Time pool_state::first_open() const
+{
+    absl::Time out = absl::InfiniteFuture();
+    for (const auto& it : servers_) {
+        if (it.is_listed && it.view.slots > 0) {
+            out = std::min(out, it.view.closed_until);
+        }
+    }
+    return out;
+}
+
 bool pool_state::has_free_slot() const
 {
     return std::any_of(servers_.begin(), servers_.end(), [](const auto& it) {
@@ -272,7 +306,7 @@
     if (has_others && own + 1 > share_of(limit)) {
         return refusal_reason::caller_share;
     }
-    const double margin = is_rate_limited() ? permit_wait_margin : 1;
+    const double margin = is_rate_limited(now) ? permit_wait_margin : 1;
     if (const auto why = check_wait(now, it, margin * expected_wait(now, it.caller))) {
         return why;
     }
@@ -344,7 +378,7 @@
     core::request_rate permits;
     absl::Time first_permit = absl::InfiniteFuture();
     for (const auto& it : servers_) {
-        if (!it.is_listed || it.view.slots == 0) {
+        if (!it.is_listed || it.view.slots == 0 || now < it.view.closed_until) {
             continue;
         }
         const double own_slots = it.view.probation ? 1 : it.view.slots;
@@ -358,7 +392,7 @@
         first_permit =
             std::min(first_permit, limit.permits > 0 ? now : limit.next_permit);
     }
-    if (is_rate_limited()) {
+    if (is_rate_limited(now)) {
         const auto first_wait = std::max(first_permit - now, absl::ZeroDuration());
         return first_wait + absl::Seconds((requests - 1) / permits.per_second());
     }
@@ -371,14 +405,14 @@
     if (now + wait + min_remaining_time(it) <= it.deadline) {
         return std::nullopt;
     }
-    return is_rate_limited() ? refusal_reason::rate_limited
-                             : refusal_reason::expected_wait;
+    return is_rate_limited(now) ? refusal_reason::rate_limited
+                                : refusal_reason::expected_wait;
 }
 
 std::optional<request_id> pool_state::drop_unservable(
     absl::Time now, const std::function<const live_request&(request_id)>& find)
 {
-    if (!is_rate_limited() || queue_.size() == 0) {
+    if (!is_rate_limited(now) || queue_.size() == 0) {
         return std::nullopt;
     }
     const auto wait = time_to_send(now, static_cast<double>(queue_.size()));
--- a/src/request/pool_state_priv.hpp
+++ b/src/request/pool_state_priv.hpp
@@ -36,6 +36,8 @@
         /// Servers that were left out because of their rate limits: the best one of those
         /// that would have been chosen, or all of them if no server is free.
         std::vector<const server_view*> withheld;
+        /// A server that was left out because it wants no requests now; may be null.
+        const server_view* closed = nullptr;
     };
     /// Chooses a free server for the request: one that isn't suspected before one that
     /// is, then the one with the lowest load including penalties. Ties are broken at
@@ -43,7 +45,7 @@
     choice
     pick(absl::Time now, const live_request& it, core::random_source& random) const;
     /// Whether there is a server, free or busy, that the request wasn't sent to yet.
-    bool has_untried(const live_request& it) const;
+    bool has_untried(absl::Time now, const live_request& it) const;
     /// The same, not counting servers whose rate limit allows no request now, and
     /// `server`, which has the request or is about to get it.
     bool has_alternative(
@@ -52,8 +54,15 @@
     /// lost.
     bool forwards() const;
     bool has_servers() const;
-    /// Whether all servers have rate limits.
-    bool is_rate_limited() const;
+    /// Whether all servers that want requests now have rate limits.
+    bool is_rate_limited(absl::Time now) const;
+    /// Applies what a response of the server says, until the next update says the same.
+    void
+    close(absl::Time now, const core::server_id& server, const server_notice& notice);
+    /// Whether there are servers, and none of them wants requests now.
+    bool is_closed(absl::Time now) const;
+    /// When the first server wants requests; infinite future if all are leaving.
+    absl::Time first_open() const;
     bool has_free_slot() const;
     std::size_t slots() const;
 
@@ -117,7 +126,8 @@
         int samples = 0;
     };
 
-    bool is_eligible(const server_slots& it, const live_request& request) const;
+    bool is_eligible(
+        absl::Time now, const server_slots& it, const live_request& request) const;
     void record_dequeue(const core::caller_id& caller, absl::Time now);
     std::size_t share_of(std::size_t total) const;
     /// Expected time until the last of `requests` requests is sent.
--- a/src/request/refusal_reason.cpp
+++ b/src/request/refusal_reason.cpp
@@ -54,6 +54,8 @@
         return {"expected-wait", unavailable, retry_class::later};
     case refusal_reason::rate_limited:
         return {"rate-limited", unavailable, retry_class::later};
+    case refusal_reason::servers_closed:
+        return {"servers-closed", unavailable, retry_class::later};
     case refusal_reason::deadline_in_queue:
         return {"deadline-in-queue", gateway_timeout, retry_class::later};
     case refusal_reason::connect_failed:
--- a/src/wire/control_decoder.cpp
+++ b/src/wire/control_decoder.cpp
@@ -379,6 +379,19 @@
     return ok;
 }
 
+bool read(const fb::leaving_news& in, model::message& out)
+{
+    model::leaving_news it;
+    for (const auto* each : *in.servers()) {
+        it.servers.push_back(
+            {{core::team_id(each->team()->str()), each->pool()->str()},
+             core::server_id(each->id()->str()),
+             each->incarnation()});
+    }
+    out = std::move(it);
+    return true;
+}
+
 bool read(const fb::reach_query& in, model::message& out)
 {
     model::reach_query it;
@@ -426,6 +439,8 @@
         return read(*in.body_as_rate_news(), out);
     case fb::message_body::reach_query:
         return read(*in.body_as_reach_query(), out);
+    case fb::message_body::leaving_news:
+        return read(*in.body_as_leaving_news(), out);
     case fb::message_body::reach_report:
         return read(*in.body_as_reach_report(), out);
     default:
--- a/src/wire/control_encoder.cpp
+++ b/src/wire/control_encoder.cpp
@@ -381,6 +381,21 @@
         return fb::Createmessage(to, fb::message_body::rate_news, at.Union());
     }
 
+    flatbuffers::Offset<fb::message> operator()(const model::leaving_news& it) const
+    {
+        fb::leaving_newsT body;
+        for (const auto& each : it.servers) {
+            auto server = std::make_unique<fb::leaving_serverT>();
+            server->team = each.pool.team.str();
+            server->pool = each.pool.name;
+            server->id = each.server.str();
+            server->incarnation = each.incarnation;
+            body.servers.push_back(std::move(server));
+        }
+        const auto at = fb::leaving_news::Pack(to, &body);
+        return fb::Createmessage(to, fb::message_body::leaving_news, at.Union());
+    }
+
     flatbuffers::Offset<fb::message> operator()(const model::reach_query& it) const
     {
         fb::reach_queryT body;
