Attribute notices to the incarnation that made them

What callers might see: a server that was restarted under the same id gets no requests from an entry, for its whole life.

Cause: a response counted for the incarnation that was listed when it arrived. One that the earlier process had sent, saying that it is leaving, closed the new one for good.

Change: an attempt remembers the incarnation of its server, and a notice of another one than that listed is ignored.

--- a/include/cuminpitch/request/events.hpp
+++ b/include/cuminpitch/request/events.hpp
@@ -223,6 +223,7 @@
 
     core::pool_id pool;
     core::server_id server;
+    std::uint64_t incarnation = 0; ///< Of the server, when the attempt began.
     core::route_id route;
     observation::kind what = kind::none;
     absl::Duration duration;
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -261,7 +261,11 @@
         now_ - observed.what.duration,
         observed.what.max_rate);
     notices_.observe(
-        now_, observed.what.pool, observed.what.server, observed.what.notice);
+        now_,
+        observed.what.pool,
+        observed.what.server,
+        observed.what.incarnation,
+        observed.what.notice);
     if (const auto pool = shared_pools_.find(observed.what.pool);
         pool != shared_pools_.end()) {
         pool->second.observe(now_, observed.what);
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -195,11 +195,13 @@
     const core::server_id& server,
     const http::client_result& result)
 {
-    if (result.failure == http::failure::none) {
+    const auto incarnation = notices_.listed_incarnation(pool, server);
+    if (incarnation && result.failure == http::failure::none) {
         notices_.observe(
             now_,
             pool,
             server,
+            *incarnation,
             request::read_server_notice(result.response, options_.dialect));
     }
 }
--- a/src/entry/server_notices.cpp
+++ b/src/entry/server_notices.cpp
@@ -25,18 +25,19 @@
     std::erase_if(entries_, [&](const auto& it) { return it.id == self_.id; });
 }
 
-std::optional<std::uint64_t>
-server_notices::listed_incarnation(const server_key& key) const
+std::optional<std::uint64_t> server_notices::listed_incarnation(
+    const core::pool_id& pool, const core::server_id& server) const
 {
-    const auto pool = listed_.find(key.first);
-    if (pool == listed_.end()) {
+    const auto listed = listed_.find(pool);
+    if (listed == listed_.end()) {
         return std::nullopt;
     }
+    const auto& all = listed->second;
     const auto it = std::lower_bound(
-        pool->second.begin(), pool->second.end(), key.second, [](const auto& a, auto& b) {
-            return a.first < b;
+        all.begin(), all.end(), server, [](const auto& each, const auto& id) {
+            return each.first < id;
         });
-    const bool is_listed = it != pool->second.end() && it->first == key.second;
+    const bool is_listed = it != all.end() && it->first == server;
     return is_listed ? std::optional(it->second) : std::nullopt;
 }
 
@@ -54,6 +55,7 @@
     absl::Time now,
     const core::pool_id& pool,
     const core::server_id& server,
+    std::uint64_t incarnation,
     const request::server_notice& said)
 {
     if (said.is_leaving_malformed) {
@@ -63,12 +65,12 @@
         count_malformed(pool, "hold-off");
     }
     const server_key key(pool, server);
-    const auto incarnation = listed_incarnation(key);
-    if (!incarnation || said == request::server_notice{}) {
+    if (said == request::server_notice{} ||
+        incarnation != listed_incarnation(pool, server)) {
         return;
     }
     if (said.hold_off > absl::ZeroDuration()) {
-        auto& it = record_of(now, key, *incarnation);
+        auto& it = record_of(now, key, incarnation);
         it.open_from = std::max(it.open_from, now + said.hold_off);
         metrics_.add("cuminpitch_hold_offs_total", {{"pool", pool.str()}});
         log_.push_back(
@@ -79,7 +81,7 @@
               {"hold_off_ms", absl::ToInt64Milliseconds(said.hold_off)}}});
         changed_.insert(pool);
     }
-    const control::leaving_server leaving{pool, server, *incarnation};
+    const control::leaving_server leaving{pool, server, incarnation};
     if (said.is_leaving && learn_leaving(now, leaving)) {
         spread(leaving);
     }
@@ -139,7 +141,7 @@
 void server_notices::tick(absl::Time now)
 {
     for (auto& [key, it] : records_) {
-        if (listed_incarnation(key)) {
+        if (listed_incarnation(key.first, key.second)) {
             it.last_listed = now;
         }
         if (it.open_from != absl::InfinitePast() && now >= it.open_from) {
@@ -175,7 +177,8 @@
 {
     const server_key key(pool, server);
     const auto found = records_.find(key);
-    if (found == records_.end() || found->second.incarnation != listed_incarnation(key)) {
+    if (found == records_.end() ||
+        found->second.incarnation != listed_incarnation(pool, server)) {
         return true;
     }
     return !found->second.is_leaving && now >= found->second.open_from;
--- a/src/entry/server_notices_priv.hpp
+++ b/src/entry/server_notices_priv.hpp
@@ -35,12 +35,16 @@
     /// Sets all entries of the fleet.
     void set_entries(std::vector<control::entry_record> entries);
 
-    /// Records what a response of the server says.
+    /// Records what a response of this incarnation of the server says.
     void observe(
         absl::Time now,
         const core::pool_id& pool,
         const core::server_id& server,
+        std::uint64_t incarnation,
         const request::server_notice& said);
+    /// The incarnation that is listed for the server.
+    std::optional<std::uint64_t>
+    listed_incarnation(const core::pool_id& pool, const core::server_id& server) const;
     void receive(absl::Time now, const control::leaving_news& it);
     /// Sends what is known to an entry that starts.
     void reply_to(const core::endpoint& starting);
@@ -77,7 +81,6 @@
         absl::Time last_listed;
     };
 
-    std::optional<std::uint64_t> listed_incarnation(const server_key& key) const;
     record& record_of(absl::Time now, const server_key& key, std::uint64_t incarnation);
     /// Returns true if this was not known.
     bool learn_leaving(absl::Time now, const control::leaving_server& it);
--- a/src/request/dispatcher_attempts.cpp
+++ b/src/request/dispatcher_attempts.cpp
@@ -149,6 +149,7 @@
     observation seen;
     seen.pool = it.pool->id;
     seen.server = it.server;
+    seen.incarnation = it.incarnation;
     seen.route = it.route->id;
     seen.what = what;
     seen.duration = now_ - it.attempt_begin;
@@ -197,6 +198,7 @@
     counters_.record("cuminpitch_queue_wait_seconds", now_ - since, pool_label(it));
     it.at = live_request::phase::sent;
     it.server = server.id;
+    it.incarnation = server.incarnation;
     explain_send(it, server);
     out_.emplace_back(start_attempt{
         it.pool->id,
@@ -245,7 +247,7 @@
     seen.is_misdirected = outcome.is_misdirected;
     seen.max_rate = outcome.max_rate;
     seen.notice = outcome.notice;
-    pool.close(now_, it.server, outcome.notice);
+    pool.close(now_, it.server, it.incarnation, outcome.notice);
     out_.emplace_back(observe{std::move(seen)});
     counters_.record("cuminpitch_attempt_seconds", result.elapsed, pool_label(it));
     if (outcome.evidence == observation::kind::success) {
--- a/src/request/live_request_priv.hpp
+++ b/src/request/live_request_priv.hpp
@@ -42,6 +42,7 @@
 
     attempt_id attempt;
     core::server_id server;
+    std::uint64_t incarnation = 0; ///< Of the server, when the attempt began.
     absl::Time attempt_begin;
     absl::Duration attempt_timeout;
     /// When another server is tried, if one may be and this one hasn't answered.
--- a/src/request/pool_state.cpp
+++ b/src/request/pool_state.cpp
@@ -201,10 +201,13 @@
 }
 
 void pool_state::close(
-    absl::Time now, const core::server_id& server, const server_notice& notice)
+    absl::Time now,
+    const core::server_id& server,
+    std::uint64_t incarnation,
+    const server_notice& notice)
 {
     const auto it = std::find_if(servers_.begin(), servers_.end(), [&](const auto& each) {
-        return each.view.id == server;
+        return each.view.id == server && each.view.incarnation == incarnation;
     });
     const auto until = notice.is_leaving ? absl::InfiniteFuture() : now + notice.hold_off;
     if (it != servers_.end()) {
--- a/src/request/pool_state_priv.hpp
+++ b/src/request/pool_state_priv.hpp
@@ -57,8 +57,11 @@
     /// Whether all servers that want requests now have rate limits.
     bool is_rate_limited(absl::Time now) const;
     /// Applies what a response of the server says, until the next update says the same.
-    void
-    close(absl::Time now, const core::server_id& server, const server_notice& notice);
+    void close(
+        absl::Time now,
+        const core::server_id& server,
+        std::uint64_t incarnation,
+        const server_notice& notice);
     /// Whether there are servers, and none of them wants requests now.
     bool is_closed(absl::Time now) const;
     /// When the first server wants requests; infinite future if all are leaving.
--- a/tests/entry/server_notices_test.cpp
+++ b/tests/entry/server_notices_test.cpp
@@ -40,9 +40,9 @@
         tested.apply(it);
         return it.servers[0].closed_until;
     }
-    void say(bool is_leaving, absl::Duration hold_off = {})
+    void say(bool is_leaving, absl::Duration hold_off = {}, std::uint64_t incarnation = 1)
     {
-        tested.observe(now, pool, server, {is_leaving, hold_off});
+        tested.observe(now, pool, server, incarnation, {is_leaving, hold_off});
     }
 
     const core::server_id server{"s"};
@@ -65,11 +65,13 @@
 }
 
 // Guards against an earlier incarnation's departure that is taken for the present one's.
-TEST_F(server_notices_test, late_news_of_an_earlier_incarnation_has_no_effect)
+TEST_F(server_notices_test, late_statement_of_an_earlier_incarnation_has_no_effect)
 {
     list(2);
     tested.receive(now, {{{pool, server, 1}}});
     EXPECT_EQ(list(2), absl::InfinitePast());
+    say(true, absl::Seconds(5), 1);
+    EXPECT_EQ(list(2), absl::InfinitePast()) << "a response to an earlier request";
 }
 
 // Guards against a server that is used until its own record arrives after the news.
@@ -128,7 +130,7 @@
 // Guards against values without a meaning that nobody notices.
 TEST_F(server_notices_test, malformed_notices_are_counted)
 {
-    tested.observe(now, pool, server, {false, {}, true, true});
+    tested.observe(now, pool, server, 1, {false, {}, true, true});
     EXPECT_EQ(list(1), absl::InfinitePast());
     EXPECT_EQ(
         metrics.counter(
