Take a path as lost only if no connection can be made

Cause: three servers in succession that failed in any way, resets and overdue responses too, counted as a lost path. With a tenth of the attempts failing an entry sees that once in a thousand attempts. 187 paths were lost in 14 s, from 0.7 s on.

Change: a loss needs five servers in succession (all of a smaller pool) to which no connection could be made. Connections that break are a reason to probe five servers at once; servers with gray failures accept connections, and a lost path doesn't.

--- a/include/cuminpitch/health/reach_monitor.hpp
+++ b/include/cuminpitch/health/reach_monitor.hpp
@@ -12,9 +12,10 @@
 
 struct reach_monitor_options
 {
-    /// The path is lost if this many servers, or all of a smaller pool, have failed
-    /// without a contact in between. Fewer may be down at the same time.
-    std::size_t min_servers = 3;
+    /// The path is lost if no connection was made to this many servers, or to any of a
+    /// smaller pool, without a contact in between. Fewer may be down, or out of reach of
+    /// this entry, at the same time.
+    std::size_t min_servers = 5;
     /// A failure that is not confirmed by others within this time is forgotten.
     absl::Duration failure_memory = absl::Seconds(3);
     /// Number of contacts in a row after which a lost path has recovered, so that a link
@@ -30,7 +31,8 @@
 /// Detects that this entry's network path to the servers of a pool is lost. A server that
 /// is down looks the same to an attempt, but the path to other servers still works then.
 /// That a new connection is made proves more than a response on an open one, as a network
-/// fault may let open connections live.
+/// fault may let open connections live. Connections that break are a reason to probe the
+/// path and don't prove a loss, as servers with gray failures break them too.
 class reach_monitor
 {
 public:
@@ -58,6 +60,8 @@
     /// Servers that have failed without a contact since.
     std::vector<core::server_id> failed_servers() const;
     std::size_t failures() const { return failures_.size(); }
+    /// Number of these to which no connection was made.
+    std::size_t failures_to_connect() const;
     /// Begin of the earliest of these failures; infinite future if there is none.
     absl::Time first_failure() const;
     /// Begin of the last attempt that made a connection.
--- a/src/entry/server_reach.cpp
+++ b/src/entry/server_reach.cpp
@@ -21,8 +21,13 @@
 constexpr std::size_t max_targets = 4;
 constexpr std::size_t entries_per_search = 3; ///< Of this failure domain, and of others.
 constexpr std::size_t servers_per_query = 3;
-/// A path counts as lost for pools without requests if so many servers of any pool fail.
-constexpr std::size_t min_failed_servers = 3;
+/// A path counts as lost for pools without requests if no connection is made to so many
+/// servers of all pools together.
+constexpr std::size_t min_failed_servers = 5;
+/// Failed servers of a pool from which on its path is probed and other entries are asked.
+constexpr std::size_t min_suspect_servers = 2;
+/// Servers probed at a time while it isn't known whether a path is lost.
+constexpr std::size_t probes_of_suspect_path = 5;
 /// Load, in requests, that makes an entry of this failure domain equal to an idle one of
 /// another domain, as bytes between domains are expensive.
 constexpr double other_domain_load = 10;
@@ -32,8 +37,7 @@
 bool server_reach::pool_reach::is_suspect() const
 {
     return monitor.is_lost() ||
-           monitor.failures() >=
-               std::min<std::size_t>(min_failed_servers - 1, servers.size());
+           monitor.failures() >= std::min(min_suspect_servers, servers.size());
 }
 
 server_reach::server_reach(
@@ -142,7 +146,7 @@
     absl::Time first = absl::InfiniteFuture();
     absl::Time connected = absl::InfinitePast();
     for (const auto& [id, it] : pools_) {
-        failed += it.monitor.failures();
+        failed += it.monitor.failures_to_connect();
         first = std::min(first, it.monitor.first_failure());
         connected = std::max(connected, it.monitor.last_connected());
     }
@@ -201,8 +205,8 @@
     }
 }
 
-/// Probes one server of a lost path at a time, and two others than those that have failed
-/// while it isn't known whether the path is lost.
+/// Probes one server of a lost path at a time, and several while it isn't known whether
+/// the path is lost.
 void server_reach::probe_servers(
     absl::Time now, const core::pool_id& id, pool_reach& pool)
 {
@@ -210,7 +214,7 @@
         return;
     }
     pool.next_probe = now + probe_interval;
-    const std::size_t n = pool.monitor.is_lost() ? 1 : 2;
+    const std::size_t n = pool.monitor.is_lost() ? 1 : probes_of_suspect_path;
     for (std::size_t i = 0; i < n; ++i) {
         start_probe(now, id, pool, pool.servers[random_() % pool.servers.size()]);
     }
--- a/src/health/reach_monitor.cpp
+++ b/src/health/reach_monitor.cpp
@@ -76,7 +76,7 @@
     last_failed_ = std::max(last_failed_, now);
     contacts_ = 0;
     const auto enough = std::min(options_.min_servers, std::max<std::size_t>(1, size_));
-    if (failures_.size() >= enough) {
+    if (failures_to_connect() >= enough) {
         mark_lost(now);
     }
 }
@@ -100,6 +100,14 @@
     return out;
 }
 
+std::size_t reach_monitor::failures_to_connect() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(failures_.begin(), failures_.end(), [](const auto& it) {
+            return it.second.is_connect;
+        }));
+}
+
 absl::Time reach_monitor::first_failure() const
 {
     absl::Time out = absl::InfiniteFuture();
