--- a/tests/http/socket_options_test.cpp
+++ b/tests/http/socket_options_test.cpp
@@ -38,7 +38,7 @@
     request.method = "GET";
     request.target = "/";
     absl::Notification done;
-    it->start(request, [&](client_result) { done.Notify(); });
+    it->start(request, [&](const client_result&) { done.Notify(); });
     done.WaitForNotification();
     expect_no_timeout_of_the_kernel(testing::connected_to(port));
     expect_no_timeout_of_the_kernel(testing::accepted_at(port));
