Share the list of servers and the choice of recipients of news

Cause: server_notices repeated two pieces of rate_limits, the incarnations of the listed servers and the choice of six random entries. Its list was copied, and a record looked up by a new key, for each server in each update of the dispatcher. Whether a server may get requests was written out three times in pool_state, and is_rate_limited() went over the servers four times.

Change: entry::listed_servers and choose_news_recipients() serve both. apply() goes over the records, mostly none, and the list is replaced only when it differs. server_slots::is_open() is the one check. The threshold of server_reach for all pools is that of reach_monitor. No decision changes; random numbers are drawn as before.

--- a/src/entry/rate_limits.cpp
+++ b/src/entry/rate_limits.cpp
@@ -1,6 +1,7 @@
 #include "entry/rate_limits_priv.hpp"
 
 #include "cuminpitch/core/overloaded.hpp"
+#include "entry/news_recipients_priv.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -21,9 +22,6 @@
 /// at once.
 constexpr absl::Duration ramp_doubling_time = absl::Milliseconds(500);
 constexpr core::request_rate max_ramp_rate{100};
-/// Number of entries to which one sends news. News that each of them passes on reach all
-/// but one in 400 (e^-6); these learn the limit from a response of their own.
-constexpr std::size_t news_fan_out = 6;
 /// Number of entries that a starting entry asks for the limits in force.
 constexpr std::size_t entries_asked_at_start = 2;
 /// Permits that weren't used expire. The rate of requests exceeds the limit by at most
@@ -81,20 +79,6 @@
     return permit_owners(server.second, members(server.first));
 }
 
-std::optional<std::uint64_t>
-rate_limits::listed_incarnation(const server_key& server) const
-{
-    const auto pool = listed_.find(server.first);
-    if (pool == listed_.end()) {
-        return std::nullopt;
-    }
-    const auto found =
-        std::find_if(pool->second.begin(), pool->second.end(), [&](const auto& it) {
-            return it.first == server.second;
-        });
-    return found == pool->second.end() ? std::nullopt : std::optional(found->second);
-}
-
 core::request_rate rate_limits::allowed_rate(absl::Time now, const record& it) const
 {
     const auto rate = std::max(it.limit, min_rate);
@@ -130,7 +114,7 @@
 bool rate_limits::learn(absl::Time now, const rate_state& state)
 {
     const server_key key(state.pool, state.server);
-    const auto listed = listed_incarnation(key);
+    const auto listed = listed_.incarnation(key.first, key.second);
     if (listed && *listed != state.incarnation) {
         return false;
     }
@@ -190,7 +174,7 @@
         log_limit(key, "server rate limit malformed", {{"value", it.text}});
     };
     const auto on_limit = [&](core::request_rate limit) {
-        const auto incarnation = listed_incarnation(key);
+        const auto incarnation = listed_.incarnation(key.first, key.second);
         if (!incarnation || (may_be_older && limit > known->second.limit)) {
             return;
         }
@@ -393,7 +377,7 @@
 void rate_limits::tick_record(absl::Time now, const server_key& server)
 {
     auto& it = records_.at(server);
-    if (!it.is_limited() || !listed_incarnation(server)) {
+    if (!it.is_limited() || !listed_.incarnation(server.first, server.second)) {
         if (now - it.stated >= ended_limit_time) {
             records_.erase(server);
         }
@@ -446,12 +430,7 @@
 void rate_limits::spread(const rate_state& state)
 {
     const auto& all = members(state.pool);
-    absl::btree_set<std::size_t> chosen;
-    const auto n = std::min(news_fan_out, all.size());
-    while (chosen.size() < n) {
-        chosen.insert(random_() % all.size());
-    }
-    for (const auto index : chosen) {
+    for (const auto index : choose_news_recipients(random_, all.size())) {
         send(all[index].internal, control::rate_news{{state}, false});
     }
 }
@@ -465,21 +444,10 @@
 
 void rate_limits::update_listed(const request::pool_update& update)
 {
-    auto& listed = listed_[update.pool];
-    const auto same = [](const auto& a, const request::server_view& b) {
-        return a.first == b.id && a.second == b.incarnation;
-    };
-    if (std::equal(
-            listed.begin(),
-            listed.end(),
-            update.servers.begin(),
-            update.servers.end(),
-            same)) {
+    if (!listed_.update(update)) {
         return;
     }
-    listed.clear();
     for (const auto& it : update.servers) {
-        listed.emplace_back(it.id, it.incarnation);
         const auto known = records_.find({update.pool, it.id});
         if (known != records_.end() && known->second.incarnation != it.incarnation) {
             ledgers_.erase(known->first);
--- a/src/entry/rate_limits_priv.hpp
+++ b/src/entry/rate_limits_priv.hpp
@@ -7,6 +7,7 @@
 #include "cuminpitch/entry/events.hpp"
 #include "cuminpitch/request/events.hpp"
 #include "cuminpitch/telemetry/metrics.hpp"
+#include "entry/listed_servers_priv.hpp"
 #include "entry/permit_ledger_priv.hpp"
 
 #include <absl/container/btree_map.h>
@@ -135,7 +136,6 @@
         absl::Time used; ///< Time of the newest request.
     };
 
-    std::optional<std::uint64_t> listed_incarnation(const server_key& server) const;
     void update_listed(const request::pool_update& it);
     const std::vector<control::entry_record>& members(const core::pool_id& pool) const;
     std::vector<control::entry_record> owners(const server_key& server) const;
@@ -177,9 +177,7 @@
     std::vector<control::entry_record> entries_;
     absl::btree_map<core::pool_id, std::vector<control::entry_record>> assigned_;
     bool has_asked_for_news_ = false;
-    /// Servers of each pool, ordered by id, with their incarnations.
-    absl::btree_map<core::pool_id, std::vector<std::pair<core::server_id, std::uint64_t>>>
-        listed_;
+    listed_servers listed_;
     absl::btree_map<server_key, record> records_;
     absl::btree_map<server_key, ledger> ledgers_;
     /// Time of the last permit message from another entry.
--- a/src/entry/server_notices.cpp
+++ b/src/entry/server_notices.cpp
@@ -1,13 +1,12 @@
 #include "entry/server_notices_priv.hpp"
 
+#include "entry/news_recipients_priv.hpp"
+
 #include <algorithm>
 
 namespace cuminpitch::entry {
 namespace {
 
-/// As for rate limits: news that each entry passes on to six others reach all but one in
-/// 400 (e^-6).
-constexpr std::size_t news_fan_out = 6;
 /// Records of servers that are not listed are kept, as control may list them again.
 constexpr absl::Duration unlisted_record_time = absl::Minutes(5);
 
@@ -25,22 +24,6 @@
     std::erase_if(entries_, [&](const auto& it) { return it.id == self_.id; });
 }
 
-std::optional<std::uint64_t> server_notices::listed_incarnation(
-    const core::pool_id& pool, const core::server_id& server) const
-{
-    const auto listed = listed_.find(pool);
-    if (listed == listed_.end()) {
-        return std::nullopt;
-    }
-    const auto& all = listed->second;
-    const auto it = std::lower_bound(
-        all.begin(), all.end(), server, [](const auto& each, const auto& id) {
-            return each.first < id;
-        });
-    const bool is_listed = it != all.end() && it->first == server;
-    return is_listed ? std::optional(it->second) : std::nullopt;
-}
-
 server_notices::record& server_notices::record_of(
     absl::Time now, const server_key& key, std::uint64_t incarnation)
 {
@@ -106,12 +89,7 @@
 
 void server_notices::spread(const control::leaving_server& it)
 {
-    absl::btree_set<std::size_t> chosen;
-    const auto n = std::min(news_fan_out, entries_.size());
-    while (chosen.size() < n) {
-        chosen.insert(random_() % entries_.size());
-    }
-    for (const auto index : chosen) {
+    for (const auto index : choose_news_recipients(random_, entries_.size())) {
         send(entries_[index].internal, control::leaving_news{{it}});
     }
 }
@@ -158,17 +136,20 @@
 
 void server_notices::apply(request::pool_update& update)
 {
-    auto& listed = listed_[update.pool];
-    listed.clear();
-    for (auto& server : update.servers) {
-        listed.emplace_back(server.id, server.incarnation);
-        const server_key key(update.pool, server.id);
-        const auto found = records_.find(key);
-        if (found == records_.end() || found->second.incarnation != server.incarnation) {
-            continue;
+    listed_.update(update);
+    for (auto it = records_.lower_bound({update.pool, core::server_id()});
+         it != records_.end() && it->first.first == update.pool;
+         ++it) {
+        const auto& known = it->second;
+        const auto server = std::find_if(
+            update.servers.begin(), update.servers.end(), [&](const auto& each) {
+                return each.id == it->first.second &&
+                       each.incarnation == known.incarnation;
+            });
+        if (server != update.servers.end()) {
+            server->closed_until =
+                known.is_leaving ? absl::InfiniteFuture() : known.open_from;
         }
-        const auto& it = found->second;
-        server.closed_until = it.is_leaving ? absl::InfiniteFuture() : it.open_from;
     }
 }
 
--- a/src/entry/server_notices_priv.hpp
+++ b/src/entry/server_notices_priv.hpp
@@ -6,6 +6,7 @@
 #include "cuminpitch/entry/events.hpp"
 #include "cuminpitch/request/events.hpp"
 #include "cuminpitch/telemetry/metrics.hpp"
+#include "entry/listed_servers_priv.hpp"
 
 #include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
@@ -44,7 +45,10 @@
         const request::server_notice& said);
     /// The incarnation that is listed for the server.
     std::optional<std::uint64_t>
-    listed_incarnation(const core::pool_id& pool, const core::server_id& server) const;
+    listed_incarnation(const core::pool_id& pool, const core::server_id& server) const
+    {
+        return listed_.incarnation(pool, server);
+    }
     void receive(absl::Time now, const control::leaving_news& it);
     /// Sends what is known to an entry that starts.
     void reply_to(const core::endpoint& starting);
@@ -92,9 +96,7 @@
     core::random_source random_;
     telemetry::metrics& metrics_;
     std::vector<control::entry_record> entries_;
-    /// Listed servers of each pool, ordered by id, with their incarnations.
-    absl::btree_map<core::pool_id, std::vector<std::pair<core::server_id, std::uint64_t>>>
-        listed_;
+    listed_servers listed_;
     absl::btree_map<server_key, record> records_;
     std::vector<outgoing> out_;
     std::vector<action::write_log> log_;
--- a/src/entry/server_reach.cpp
+++ b/src/entry/server_reach.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t servers_per_query = 3;
 /// A path counts as lost for pools without requests if no connection is made to so many
 /// servers of all pools together.
-constexpr std::size_t min_failed_servers = 5;
+constexpr std::size_t min_failed_servers = health::reach_monitor_options{}.min_servers;
 /// Failed servers of a pool from which on its path is probed and other entries are asked.
 constexpr std::size_t min_suspect_servers = 2;
 /// Servers probed at a time while it isn't known whether a path is lost.
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -296,7 +296,7 @@
 
 void dispatcher::impl::dispatch_queued(pool_state& pool)
 {
-    if (pool.is_closed(now_)) {
+    if (pool.queue().size() > 0 && pool.is_closed(now_)) {
         for (const request_id waiting : pool.queue().drain()) {
             conclude(*live_.at(waiting), refusal_reason::servers_closed);
         }
--- a/src/request/pool_state.cpp
+++ b/src/request/pool_state.cpp
@@ -86,8 +86,7 @@
 bool pool_state::is_eligible(
     absl::Time now, const server_slots& it, const live_request& request) const
 {
-    if (!it.is_listed || it.view.slots == 0 || now < it.view.closed_until ||
-        was_tried(request, it.view.id)) {
+    if (!it.is_open(now) || was_tried(request, it.view.id)) {
         return false;
     }
     return !it.view.probation || request.route->idempotent || !has_idempotent_route_;
@@ -193,11 +192,16 @@
 
 bool pool_state::is_rate_limited(absl::Time now) const
 {
-    return has_servers() && !is_closed(now) &&
-           std::all_of(servers_.begin(), servers_.end(), [&](const auto& it) {
-               return !it.is_listed || it.view.slots == 0 || it.view.limit ||
-                      now < it.view.closed_until;
-           });
+    bool out = false;
+    for (const auto& it : servers_) {
+        if (it.is_open(now)) {
+            if (!it.view.limit) {
+                return false;
+            }
+            out = true;
+        }
+    }
+    return out;
 }
 
 void pool_state::close(
@@ -381,7 +385,7 @@
     core::request_rate permits;
     absl::Time first_permit = absl::InfiniteFuture();
     for (const auto& it : servers_) {
-        if (!it.is_listed || it.view.slots == 0 || now < it.view.closed_until) {
+        if (!it.is_open(now)) {
             continue;
         }
         const double own_slots = it.view.probation ? 1 : it.view.slots;
--- a/src/request/pool_state_priv.hpp
+++ b/src/request/pool_state_priv.hpp
@@ -119,6 +119,12 @@
         std::uint32_t in_flight = 0;
         /// False if the server was removed from the pool but has requests in flight.
         bool is_listed = true;
+
+        /// Whether it may get requests.
+        bool is_open(absl::Time now) const
+        {
+            return is_listed && view.slots > 0 && now >= view.closed_until;
+        }
     };
 
     /// How often requests of a caller left the queue while more of its requests waited.
