Share seeds and load of the tests with simulated fleets

Cause: three tests read CUMINPITCH_SEEDS by themselves, and two wrote the same load.

Change: seeds(), from_environment() and run_random_load() belong to simulated_fleet. The time at which a leaving server first spoke is now the earliest of its responses and not the first that was begun, which only makes the check stricter.

--- a/tests/entry/rate_limit_fleet_test.cpp
+++ b/tests/entry/rate_limit_fleet_test.cpp
@@ -3,14 +3,12 @@
 
 #include "simulated_fleet.hpp"
 
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <cmath>
-#include <cstdlib>
 #include <map>
 
 namespace cuminpitch::entry {
@@ -174,19 +172,6 @@
     }
 }
 
-/// A number from the environment, for long runs by hand.
-std::uint64_t from_environment(const char* name, std::uint64_t usual)
-{
-    const char* text = std::getenv(name);
-    std::uint64_t out = 0;
-    return text != nullptr && absl::SimpleAtoi(text, &out) ? out : usual;
-}
-
-std::uint64_t seeds(std::uint64_t usual)
-{
-    return from_environment("CUMINPITCH_SEEDS", usual);
-}
-
 // Guards against entries that each know only their own share of a server's requests, so
 // that the server gets far more than it said it accepts.
 TEST(rate_limit_fleet_test, limit_holds_over_32_entries)
--- a/tests/entry/server_notice_fleet_test.cpp
+++ b/tests/entry/server_notice_fleet_test.cpp
@@ -8,7 +8,6 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <cstdlib>
 #include <map>
 #include <set>
 
@@ -21,13 +20,6 @@
 /// All entries know of a leaving server after this time.
 constexpr absl::Duration spread_time = absl::Milliseconds(500);
 
-std::uint64_t seeds(std::uint64_t usual)
-{
-    const char* text = std::getenv("CUMINPITCH_SEEDS");
-    std::uint64_t out = 0;
-    return text != nullptr && absl::SimpleAtoi(text, &out) ? out : usual;
-}
-
 class speaking_fleet : public simulated_fleet
 {
 public:
@@ -36,15 +28,7 @@
     void run(absl::Duration time)
     {
         constexpr double utilization = 0.4;
-        const auto requests = static_cast<std::size_t>(
-            utilization * shape().slots * shape().servers *
-            absl::FDivDuration(time, shape().mean_service_time));
-        const auto begin = now();
-        for (std::size_t n = 0; n < requests; ++n) {
-            advance(begin + time * n / requests);
-            send(random_() % shape().entries, n % 3 == 0);
-        }
-        advance(begin + time);
+        run_random_load(utilization, time);
     }
     void leave(std::size_t server) { leaving_.insert(server_at(server)); }
     /// The server turns requests away until `end`, each with the same hold-off time.
@@ -140,7 +124,9 @@
             out.response.headers.set("Cuminpitch-Leaving", "1");
             const auto [it, is_new] = told_leaving_.try_emplace(key, now() + out.elapsed);
             it->second = std::min(it->second, now() + out.elapsed);
-            first_told_.try_emplace(server, now() + out.elapsed);
+            auto& first =
+                first_told_.try_emplace(server, now() + out.elapsed).first->second;
+            first = std::min(first, now() + out.elapsed);
         }
         return out;
     }
--- a/tests/entry/simulated_fleet.cpp
+++ b/tests/entry/simulated_fleet.cpp
@@ -2,9 +2,11 @@
 
 #include "cuminpitch/control/declared_settings.hpp"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace cuminpitch::entry {
 namespace {
@@ -29,6 +31,18 @@
 
 } // namespace
 
+std::uint64_t from_environment(const char* name, std::uint64_t usual)
+{
+    const char* text = std::getenv(name);
+    std::uint64_t out = 0;
+    return text != nullptr && absl::SimpleAtoi(text, &out) ? out : usual;
+}
+
+std::uint64_t seeds(std::uint64_t usual)
+{
+    return from_environment("CUMINPITCH_SEEDS", usual);
+}
+
 simulated_fleet::simulated_fleet(const fleet_shape& shape)
     : random_(shape.seed + 1), shape_(shape)
 {
@@ -166,6 +180,20 @@
     advance(begin + time);
 }
 
+std::size_t simulated_fleet::run_random_load(double utilization, absl::Duration time)
+{
+    const auto requests = static_cast<std::size_t>(
+        utilization * shape_.slots * shape_.servers *
+        absl::FDivDuration(time, shape_.mean_service_time));
+    const auto begin = now_;
+    for (std::size_t n = 0; n < requests; ++n) {
+        advance(begin + time * n / requests);
+        send(random_() % shape_.entries, n % 3 == 0);
+    }
+    advance(begin + time);
+    return requests;
+}
+
 void simulated_fleet::send(std::size_t entry, bool is_idempotent)
 {
     const core::request_id id(++last_request_);
--- a/tests/entry/simulated_fleet.hpp
+++ b/tests/entry/simulated_fleet.hpp
@@ -20,6 +20,11 @@
 
 namespace cuminpitch::entry {
 
+/// The number of seeds to run: `usual`, or CUMINPITCH_SEEDS for long runs by hand.
+std::uint64_t seeds(std::uint64_t usual);
+/// A number from the environment, or `usual`.
+std::uint64_t from_environment(const char* name, std::uint64_t usual);
+
 struct fleet_shape
 {
     std::size_t entries = 52;
@@ -62,6 +67,9 @@
     void run_load(std::size_t requests, absl::Duration time, std::size_t active = 0);
     void advance(absl::Time until);
     void send(std::size_t entry, bool is_idempotent = false);
+    /// Sends evenly spaced requests to random entries for this time, a third of them
+    /// idempotent, that keep this fraction of the slots busy. Returns their number.
+    std::size_t run_random_load(double utilization, absl::Duration time);
 
     /// Replaces the process of the entry by a new one, without the state of the old one.
     void restart(std::size_t entry);
--- a/tests/entry/stranded_fleet_test.cpp
+++ b/tests/entry/stranded_fleet_test.cpp
@@ -3,12 +3,10 @@
 
 #include "simulated_fleet.hpp"
 
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 
 #include <array>
-#include <cstdlib>
 #include <ostream>
 #include <set>
 
@@ -21,13 +19,6 @@
 /// Callers are owed service again from this time after a cut.
 constexpr absl::Duration liveness = absl::Seconds(3);
 
-std::uint64_t seeds(std::uint64_t usual)
-{
-    const char* text = std::getenv("CUMINPITCH_SEEDS");
-    std::uint64_t out = 0;
-    return text != nullptr && absl::SimpleAtoi(text, &out) ? out : usual;
-}
-
 /// Share of the requests of callers that is to be served, relative to that of callers who
 /// are not affected. The users ask for two thirds.
 constexpr double served_ratio = 0.97;
@@ -63,16 +54,7 @@
     void run(absl::Duration time)
     {
         constexpr double utilization = 0.45;
-        const auto requests = static_cast<std::size_t>(
-            utilization * shape().slots * shape().servers *
-            absl::FDivDuration(time, shape().mean_service_time));
-        const auto begin = now();
-        for (std::size_t n = 0; n < requests; ++n) {
-            advance(begin + time * n / requests);
-            send(random_() % shape().entries, n % 3 == 0);
-            ++sent_;
-        }
-        advance(begin + time);
+        sent_ += run_random_load(utilization, time);
     }
     void
     cut(const std::set<std::size_t>& entries,
