Log why control has no leader, reads stay unanswered and batches take long

The logs don't tell what a batch of events consists of, how long an update for an entry is, which voters are missing, and why a read isn't answered; the entries don't log an update that they can't apply. No decision depends on it.

--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -5,11 +5,16 @@
 #include "cuminpitch/wire/control_codec.hpp"
 #include "cuminpitch/wire/group_codec.hpp"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 
 namespace cuminpitch::control {
 namespace {
 
+/// Updates from this size on, and those of entries without a state, are logged.
+constexpr std::size_t logged_update_bytes = 32U << 10U;
+
 /// Whether the message carries a command that is already compressed.
 bool has_packed_command(const consensus::envelope& it)
 {
@@ -92,6 +97,7 @@
                                                       : absl::InfiniteFuture();
         reconcile_members();
     }
+    log_leader_absence();
     tick_controller();
     expire_proposals();
     expire_calls();
@@ -167,6 +173,16 @@
     const auto frame =
         net::compress_payload({net::channel::control, wire::encode(message(response))});
     clients_.record_sent(now_, it.entry.id, state_.revision(), frame.payload.size());
+    if (base < state_.revision() &&
+        (base == core::revision() || frame.payload.size() >= logged_update_bytes)) {
+        log(telemetry::severity::info,
+            "update sent",
+            {{"entry", it.entry.id.str()},
+             {"base", static_cast<std::int64_t>(base.value())},
+             {"revision", static_cast<std::int64_t>(state_.revision().value())},
+             {"bytes", static_cast<std::int64_t>(frame.payload.size())},
+             {"age_ms", absl::ToInt64Milliseconds(response.age)}});
+    }
     actions_.emplace_back(action::send_frame{to, frame});
 }
 
@@ -556,6 +572,44 @@
     return contacts[majority - 1];
 }
 
+std::string node::impl::silent_voters() const
+{
+    std::string out;
+    for (const auto& it : replica_->members().members()) {
+        if (it.role != consensus::member_role::voter || it.id == options_.identity) {
+            continue;
+        }
+        const auto* known = directory_.at(it.internal);
+        const bool is_same = known != nullptr && known->identity == it.id;
+        if (is_same && now_ - known->last_heard < absl::Seconds(1)) {
+            continue;
+        }
+        const std::string silent =
+            is_same
+                ? absl::StrCat(absl::ToInt64Milliseconds(now_ - known->last_heard), "ms")
+                : "never";
+        absl::StrAppend(&out, out.empty() ? "" : ",", it.internal.str(), "=", silent);
+    }
+    return out;
+}
+
+void node::impl::log_leader_absence()
+{
+    const bool is_leader_known = is_leader() || !replica_->leader().empty();
+    const auto absent = leader_absence_.check(now_, is_leader_known);
+    if (!absent) {
+        return;
+    }
+    const auto& members = replica_->members();
+    log(telemetry::severity::warning,
+        "no leader",
+        {{"for_ms", absl::ToInt64Milliseconds(*absent)},
+         {"term", static_cast<std::int64_t>(replica_->term().value())},
+         {"voters", static_cast<std::int64_t>(members.voter_count())},
+         {"is_voter", members.is_voter(options_.identity)},
+         {"silent_voters", silent_voters()}});
+}
+
 void node::impl::respond(core::request_id id, http::response it)
 {
     actions_.emplace_back(action::respond{id, std::move(it)});
--- a/src/control/node_calls.cpp
+++ b/src/control/node_calls.cpp
@@ -144,6 +144,12 @@
 void node::impl::handle_call(call::read_document& it)
 {
     if (!is_leader() || !replica_->synchronized()) {
+        if (is_leader()) {
+            log_unanswered_read("no-entry-of-this-term", absl::ZeroDuration());
+        } else if (!leader_http()) {
+            log_unanswered_read(
+                leader() ? "leader-address-unknown" : "no-leader", absl::ZeroDuration());
+        }
         redirect_to_leader(it.id);
         return;
     }
@@ -166,6 +172,8 @@
             answer(
                 next.request, call_result::newest_document{state_.contents().document});
         } else if (!is_leader() || now_ >= next.received_at + options_.call_timeout) {
+            log_unanswered_read(
+                is_leader() ? "no-majority" : "leader-changed", now_ - next.received_at);
             answer(
                 next.request,
                 call_result::unavailable{"no majority confirmed the state"});
@@ -176,6 +184,16 @@
     }
 }
 
+void node::impl::log_unanswered_read(const char* reason, absl::Duration waited)
+{
+    log(telemetry::severity::warning,
+        "read not answered",
+        {{"reason", std::string(reason)},
+         {"waited_ms", absl::ToInt64Milliseconds(waited)},
+         {"term", static_cast<std::int64_t>(replica_->term().value())},
+         {"silent_voters", silent_voters()}});
+}
+
 // Announcements of backend servers.
 
 void node::impl::handle_call(call::announce& it)
--- a/src/control/node_impl_priv.hpp
+++ b/src/control/node_impl_priv.hpp
@@ -4,6 +4,7 @@
 
 #include "control/entry_roster_priv.hpp"
 #include "control/group_directory_priv.hpp"
+#include "control/leader_absence_priv.hpp"
 #include "control/operator_api_priv.hpp"
 #include "control/sync_clients_priv.hpp"
 #include "cuminpitch/consensus/replica.hpp"
@@ -69,6 +70,10 @@
     void expire_calls();
     void fail_calls();
     void redirect_to_leader(core::request_id id);
+    void log_unanswered_read(const char* reason, absl::Duration waited);
+    void log_leader_absence();
+    /// Voters without a message within a second, each with the time since the last one.
+    std::string silent_voters() const;
     void answer(core::request_id id, api_answer it);
 
     void receive_report(const net::peer& from, const sync_request& it);
@@ -172,6 +177,7 @@
     std::size_t server_slots_ = 0;
     absl::btree_map<core::instance_id, absl::Time> next_relays_;
     absl::Time leader_since_ = absl::InfiniteFuture();
+    leader_absence leader_absence_;
     absl::Time next_member_change_ = absl::InfinitePast();
     /// Control instances that sent a hello or were named in one, with the time of the
     /// newest one.
--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -37,6 +37,9 @@
 constexpr absl::Duration quick_start_min = absl::Milliseconds(100);
 constexpr absl::Duration quick_start_max = absl::Milliseconds(250);
 
+/// A batch of events that takes longer delays the heartbeats of a leader and is logged.
+constexpr absl::Duration slow_batch = absl::Milliseconds(100);
+
 /// Maximum number of events queued behind storage writes. Frames above it are dropped;
 /// peers tolerate that because the network may lose frames too.
 constexpr std::size_t inbox_limit = 100'000;
@@ -67,12 +70,32 @@
     void enqueue(control::node_event it);
     inbox take_inbox();
     bool handle_batch(signal_receiver& signals);
+    void log_if_slow(
+        absl::Time begin,
+        absl::Time decided,
+        std::size_t events,
+        std::size_t actions) const;
 
     // Each overload executes one action and returns false if the process must exit.
     bool run(consensus::write_hard_state& it) { return check(storage_->write(it)); }
     bool run(consensus::write_entries& it) { return check(storage_->write(it)); }
-    bool run(consensus::write_snapshot& it) { return check(storage_->write(it)); }
-    bool run(consensus::sync_writes&) { return check(storage_->sync()); }
+    bool run(consensus::write_snapshot& it)
+    {
+        return timed([&] { return check(storage_->write(it)); });
+    }
+    bool run(consensus::sync_writes&)
+    {
+        return timed([&] { return check(storage_->sync()); });
+    }
+    /// Adds the time that a use of the storage takes to `storage_time_`.
+    template <class Use>
+    bool timed(const Use& use)
+    {
+        const absl::Time begin = monotonic_now();
+        const bool done = use();
+        storage_time_ += monotonic_now() - begin;
+        return done;
+    }
     bool run(control::action::respond& it);
     bool run(control::action::answer_call& it);
     bool run(control::action::send_frame& it);
@@ -92,6 +115,7 @@
     std::unique_ptr<control::node> node_;
     bool stopping_ = false;
     bool finished_ = false;
+    absl::Duration storage_time_; ///< Time that the current batch waited for the disk.
 
     absl::Mutex mutex_;
     inbox inbox_ ABSL_GUARDED_BY(mutex_);
@@ -296,18 +320,40 @@
         std::erase(*seeds, settings_.internal);
         events.emplace_back(control::event::peers_changed{std::move(*seeds)});
     }
+    const absl::Time begin = monotonic_now();
     for (auto& it : events) {
         node_->handle(monotonic_now(), std::move(it));
     }
     node_->handle(monotonic_now(), control::event::tick{});
-    for (auto& it : node_->take_actions()) {
+    auto actions = node_->take_actions();
+    const absl::Time decided = monotonic_now();
+    storage_time_ = absl::ZeroDuration();
+    for (auto& it : actions) {
         if (!std::visit([this](auto& what) { return run(what); }, it)) {
             return false;
         }
     }
+    log_if_slow(begin, decided, events.size(), actions.size());
     return true;
 }
 
+void control_daemon::log_if_slow(
+    absl::Time begin, absl::Time decided, std::size_t events, std::size_t actions) const
+{
+    const absl::Time end = monotonic_now();
+    if (end - begin < slow_batch) {
+        return;
+    }
+    telemetry::log(
+        telemetry::severity::warning,
+        "slow batch",
+        {{"total_ms", absl::ToInt64Milliseconds(end - begin)},
+         {"deciding_ms", absl::ToInt64Milliseconds(decided - begin)},
+         {"storage_ms", absl::ToInt64Milliseconds(storage_time_)},
+         {"events", static_cast<std::int64_t>(events)},
+         {"actions", static_cast<std::int64_t>(actions)}});
+}
+
 bool control_daemon::run(control::action::respond& it)
 {
     if (const auto open = take_exchange(it.id)) {
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -160,7 +160,7 @@
         return;
     }
     apply_stale_updates();
-    replica_.apply(response.update);
+    apply(response.update, from, out);
     if (response.confirmed && replica_.revision() >= response.current) {
         confirmed_ = true;
     }
@@ -175,6 +175,23 @@
     }
 }
 
+/// Logs an update that can't be applied: an earlier one hasn't arrived, or its
+/// declarations don't compile.
+void control_link::apply(
+    const control::update& it, const net::peer& from, std::vector<node_action>& out)
+{
+    if (replica_.apply(it)) {
+        return;
+    }
+    const auto* step = std::get_if<control::delta>(&it);
+    out.push_back(action::write_log{
+        telemetry::severity::warning,
+        "update ignored",
+        {{"control", from.internal.str()},
+         {"base", static_cast<std::int64_t>(step == nullptr ? 0 : step->base.value())},
+         {"revision", static_cast<std::int64_t>(replica_.revision().value())}}});
+}
+
 /// Applies the updates in the order of arrival, because a later one may start at the
 /// revision where an earlier one ends.
 void control_link::apply_stale_updates()
--- a/src/entry/control_link_priv.hpp
+++ b/src/entry/control_link_priv.hpp
@@ -61,6 +61,8 @@
     void switch_target(absl::Time now, std::vector<node_action>& out);
     void ask_peers(std::vector<node_action>& out);
     void apply_stale_updates();
+    void apply(
+        const control::update& it, const net::peer& from, std::vector<node_action>& out);
     void
     on(absl::Time now,
        const net::peer& from,
