Send an entry the contents if the commands since its state are longer

Cause: a delta was sent whenever the commands that an entry lacks were still stored.

Change: fleet_state compares the size of the commands with that of the contents, and sends the contents, which are compressed once for all entries, if they are shorter. Packed contents aren't compressed again for each frame.

fleet_state.sends_complete_contents_beyond_the_stored_commands changed one entry 1,025 times and expected a delta of 1,024 commands for contents of one entry, which is what is wrong. It now adds 1,025 entries, so that only the number of stored commands decides; the rule on sizes has its own test.

--- a/src/control/fleet_state.cpp
+++ b/src/control/fleet_state.cpp
@@ -26,6 +26,35 @@
     return core::team_id(path.substr(root.size(), end - root.size()));
 }
 
+/// Approximate size of an encoded list of commands or of a part of the state.
+constexpr std::size_t item_overhead_bytes = 48;
+constexpr std::size_t record_bytes = 160;
+/// A shorter list of commands is sent without comparing it with the contents.
+constexpr std::size_t always_sent_bytes = 16U << 10U;
+
+std::size_t size_of(const command& it)
+{
+    const auto* settings_change = std::get_if<change>(&it);
+    if (settings_change == nullptr) {
+        return record_bytes;
+    }
+    std::size_t n = record_bytes;
+    for (const auto& op : settings_change->operations) {
+        n += item_overhead_bytes + op.path.size() + (op.value ? op.value->size() : 0);
+    }
+    return n;
+}
+
+std::size_t size_of(const fleet_contents& it)
+{
+    std::size_t n = record_bytes *
+                    (1 + it.entries.size() + it.assignments.size() + it.servers.size());
+    for (const auto& [path, value] : it.settings) {
+        n += item_overhead_bytes + path.size() + value.size();
+    }
+    return n;
+}
+
 void append_bounded(std::deque<numbered_command>& list, const numbered_command& it)
 {
     list.push_back(it);
@@ -89,7 +118,7 @@
 
     update update_for(core::revision base) const
     {
-        if (base >= recent_base_) {
+        if (base >= recent_base_ && is_shorter_than_contents(base)) {
             return delta{base, contents_.revision, commands_after(base)};
         }
         if (!shared_contents_) {
@@ -340,27 +369,59 @@
 
     outcome publish(const numbered_command& it)
     {
-        recent_commands_.push_back(it);
+        recent_commands_.push_back({it, recent_bytes_});
+        recent_bytes_ += size_of(it.command);
         if (recent_commands_.size() > history_limit) {
-            recent_base_ = recent_commands_.front().revision;
+            recent_base_ = recent_commands_.front().command.revision;
             recent_commands_.pop_front();
         }
+        contents_bytes_.reset();
         view_.reset();
         shared_contents_.reset();
         packed_bytes_.reset();
         return applied{it.revision};
     }
 
-    std::vector<numbered_command> commands_after(core::revision base) const
+    struct recent_command
     {
-        const auto first = std::upper_bound(
+        numbered_command command;
+        std::size_t bytes_before = 0; ///< Size of all earlier commands.
+    };
+
+    std::deque<recent_command>::const_iterator first_after(core::revision base) const
+    {
+        return std::upper_bound(
             recent_commands_.begin(),
             recent_commands_.end(),
             base,
-            [](core::revision value, const numbered_command& it) {
-                return value < it.revision;
+            [](core::revision value, const recent_command& it) {
+                return value < it.command.revision;
             });
-        return {first, recent_commands_.end()};
+    }
+
+    std::vector<numbered_command> commands_after(core::revision base) const
+    {
+        std::vector<numbered_command> result;
+        for (auto it = first_after(base); it != recent_commands_.end(); ++it) {
+            result.push_back(it->command);
+        }
+        return result;
+    }
+
+    /// The commands after `base` may be much longer than the contents that they lead to:
+    /// settings that are changed again and again stand in them each time.
+    bool is_shorter_than_contents(core::revision base) const
+    {
+        const auto first = first_after(base);
+        const auto bytes =
+            first == recent_commands_.end() ? 0 : recent_bytes_ - first->bytes_before;
+        if (bytes <= always_sent_bytes) {
+            return true;
+        }
+        if (!contents_bytes_) {
+            contents_bytes_ = size_of(contents_);
+        }
+        return bytes <= *contents_bytes_;
     }
 
     void store_outcome(const core::change_id& id, outcome it)
@@ -383,8 +444,10 @@
     std::deque<numbered_command> history_;
     // The latest state-changing commands. A delta can start at recent_base_ or any later
     // revision.
-    std::deque<numbered_command> recent_commands_;
+    std::deque<recent_command> recent_commands_;
     core::revision recent_base_;
+    std::size_t recent_bytes_ = 0; ///< Size of all commands since the start.
+    mutable std::optional<std::size_t> contents_bytes_; ///< Size of contents_.
     mutable fleet_view_ptr view_;
     mutable std::shared_ptr<const fleet_contents> shared_contents_;
     mutable std::shared_ptr<const std::string>
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -170,8 +170,10 @@
 {
     auto response = sync_clients::make_response(state_, base, leader(), confirmed);
     fill_response(response, it);
-    const auto frame =
-        net::compress_payload({net::channel::control, wire::encode(message(response))});
+    net::frame encoded{net::channel::control, wire::encode(message(response))};
+    encoded.is_mostly_compressed =
+        std::holds_alternative<packed_contents>(response.update);
+    const auto frame = net::compress_payload(std::move(encoded));
     clients_.record_sent(now_, it.entry.id, state_.revision(), frame.payload.size());
     if (base < state_.revision() &&
         (base == core::revision() || frame.payload.size() >= logged_update_bytes)) {
--- a/tests/control/fleet_state_test.cpp
+++ b/tests/control/fleet_state_test.cpp
@@ -282,12 +282,27 @@
 {
     fleet_state state(compile_sample);
     for (std::uint64_t i = 1; i <= history_limit + 1; ++i) {
-        state.apply(rev(i), entry_joined{make_entry("e", "d"), i});
+        state.apply(
+            rev(i), entry_joined{make_entry("e" + std::to_string(i), "d"), 1});
     }
     EXPECT_TRUE(std::holds_alternative<delta>(state.update_for(rev(1))));
     EXPECT_FALSE(std::holds_alternative<delta>(state.update_for(rev(0))));
     EXPECT_EQ(state.view(), state.view());
 }
 
+// Guards against commands that are far longer than the contents that they lead to.
+TEST(fleet_state, sends_contents_if_the_commands_are_longer)
+{
+    fleet_state state(compile_sample);
+    for (std::uint64_t i = 1; i <= history_limit; ++i) {
+        state.apply(rev(i), entry_joined{make_entry("e", "d"), i});
+    }
+    EXPECT_FALSE(std::holds_alternative<delta>(state.update_for(rev(1))));
+    EXPECT_TRUE(std::holds_alternative<delta>(state.update_for(rev(history_limit - 9))));
+    view_replica entry(compile_sample);
+    ASSERT_TRUE(entry.apply(state.packed_update_for(rev(0))));
+    expect_same(entry, state);
+}
+
 } // namespace
 } // namespace cuminpitch::control
