Apply a long log in steps, so that a leader keeps its role meanwhile

An elected leader sent no heartbeat meanwhile and was deposed by the next instance, which then did the same: in the record each of the five instances leads once before one stays (65.5 to 67.7 s).

Change: the node queues committed entries and applies at most 32 of them or 16 KiB in a step; the daemon begins the next step at once. Until the queue is empty a leader proposes no document, runs no controller and confirms no entry. A read waits until everything is applied that was committed when it arrived.

--- a/include/cuminpitch/control/node.hpp
+++ b/include/cuminpitch/control/node.hpp
@@ -185,6 +185,10 @@
     /// ones, and the process must end.
     std::vector<node_action> take_actions();
 
+    /// Whether take_actions() has left work for the next step, which is then due at once.
+    /// Long work is divided into steps so that messages between instances don't wait.
+    bool has_backlog() const;
+
 private:
     class impl;
     explicit node(std::unique_ptr<impl> it);
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -12,6 +12,11 @@
 namespace cuminpitch::control {
 namespace {
 
+/// Limits of the entries applied in one step, so that a leader that applies a long log
+/// still sends its heartbeats. On 0.15 cores a change takes about 1.5 ms.
+constexpr std::size_t entries_per_step = 32;
+constexpr std::size_t entry_bytes_per_step = 16U << 10U;
+
 /// Updates from this size on, and those of entries without a state, are logged.
 constexpr std::size_t logged_update_bytes = 32U << 10U;
 
@@ -162,7 +167,7 @@
 bool node::impl::can_confirm(const sync_request& it)
 {
     return controller_ && confirmations_.record_report(now_, it, majority_contact()) &&
-           replica_->synchronized();
+           can_decide();
 }
 
 void node::impl::answer_report(
@@ -424,10 +429,34 @@
     }
 }
 
+void node::impl::apply_committed()
+{
+    std::size_t n = 0;
+    std::size_t bytes = 0;
+    while (!unapplied_.empty() && n < entries_per_step && bytes < entry_bytes_per_step) {
+        const consensus::entry next = std::move(unapplied_.front());
+        unapplied_.pop_front();
+        if (const auto* it = std::get_if<consensus::command>(&next.payload)) {
+            bytes += it->bytes.size();
+        }
+        ++n;
+        apply(next);
+    }
+    if (n > 0) {
+        propose_next_document();
+        run_replica();
+    }
+}
+
 void node::impl::run(consensus::apply_entry& it)
 {
-    applied_index_ = it.entry.index;
-    const auto* bytes = std::get_if<consensus::command>(&it.entry.payload);
+    unapplied_.push_back(std::move(it.entry));
+}
+
+void node::impl::apply(const consensus::entry& it)
+{
+    applied_index_ = it.index;
+    const auto* bytes = std::get_if<consensus::command>(&it.payload);
     if (bytes == nullptr) {
         return;
     }
@@ -436,18 +465,15 @@
         log(telemetry::severity::error, "malformed command in the log");
         return;
     }
-    const auto result =
-        state_.apply(core::revision(it.entry.index.value()), decoded.value());
-    if (!finish_call(it.entry.index, it.entry.term, result)) {
-        finish_proposal(it.entry.index, it.entry.term, result);
-    }
-    if (is_leader()) {
-        propose_next_document();
+    const auto result = state_.apply(core::revision(it.index.value()), decoded.value());
+    if (!finish_call(it.index, it.term, result)) {
+        finish_proposal(it.index, it.term, result);
     }
 }
 
 void node::impl::run(consensus::restore_snapshot& it)
 {
+    unapplied_.clear(); // The snapshot covers all entries committed before it.
     applied_index_ = it.snapshot.info.index;
     if (!it.snapshot.bytes || it.snapshot.bytes->empty()) {
         return;
@@ -499,8 +525,7 @@
 
 void node::impl::tick_controller()
 {
-    if (!controller_ || !replica_->synchronized() || stopping_ ||
-        now_ < next_controller_) {
+    if (!controller_ || !can_decide() || stopping_ || now_ < next_controller_) {
         return;
     }
     next_controller_ = now_ + options_.controller_interval;
@@ -655,4 +680,9 @@
     return impl_->take_actions();
 }
 
+bool node::has_backlog() const
+{
+    return impl_->has_backlog();
+}
+
 } // namespace cuminpitch::control
--- a/src/control/node_calls.cpp
+++ b/src/control/node_calls.cpp
@@ -71,6 +71,9 @@
 /// operations of a document are the difference to the settings before it.
 void node::impl::propose_next_document()
 {
+    if (!can_decide()) {
+        return;
+    }
     const bool is_busy =
         std::any_of(pending_calls_.begin(), pending_calls_.end(), [](const auto& it) {
             return it.second.document.has_value();
@@ -153,11 +156,12 @@
         redirect_to_leader(it.id);
         return;
     }
-    pending_reads_.push_back({it.id, now_});
+    pending_reads_.push_back({it.id, now_, replica_->commit_index()});
 }
 
 /// A leader may have been replaced without noticing it. A read is therefore answered only
-/// once a majority has answered a heartbeat that was sent after the read arrived.
+/// once a majority has answered a heartbeat that was sent after the read arrived, and
+/// everything that was committed at its arrival has been applied.
 void node::impl::answer_reads()
 {
     if (pending_reads_.empty()) {
@@ -168,12 +172,16 @@
                                      : absl::InfinitePast();
     while (!pending_reads_.empty()) {
         const auto& next = pending_reads_.front();
-        if (next.received_at <= confirmed) {
+        const bool is_applied = applied_index_ >= next.commit_index;
+        if (next.received_at <= confirmed && is_applied) {
             answer(
                 next.request, call_result::newest_document{state_.contents().document});
         } else if (!is_leader() || now_ >= next.received_at + options_.call_timeout) {
             log_unanswered_read(
-                is_leader() ? "no-majority" : "leader-changed", now_ - next.received_at);
+                !is_leader()  ? "leader-changed"
+                : !is_applied ? "state-not-applied"
+                              : "no-majority",
+                now_ - next.received_at);
             answer(
                 next.request,
                 call_result::unavailable{"no majority confirmed the state"});
--- a/src/control/node_impl_priv.hpp
+++ b/src/control/node_impl_priv.hpp
@@ -44,10 +44,13 @@
     std::vector<node_action> take_actions()
     {
         run_replica();
+        apply_committed();
         push_state();
         return std::exchange(actions_, {});
     }
 
+    bool has_backlog() const { return !unapplied_.empty(); }
+
 private:
     void on(event::operator_request& it);
     void on(event::frame_received& it);
@@ -99,6 +102,9 @@
     void fill_response(sync_response& it, const sync_request& to);
 
     void run_replica();
+    /// Applies committed entries up to the limits of one step.
+    void apply_committed();
+    void apply(const consensus::entry& it);
     void run(consensus::apply_entry& it);
     void run(consensus::restore_snapshot& it);
     void run(consensus::role_changed& it);
@@ -124,6 +130,12 @@
     std::vector<instance_status> control_instances() const;
     std::vector<instance_status> entry_instances() const;
 
+    /// Whether this instance leads and its state includes everything that was committed
+    /// before its term.
+    bool can_decide() const
+    {
+        return is_leader() && replica_->synchronized() && unapplied_.empty();
+    }
     bool is_leader() const { return replica_->role() == consensus::role::leader; }
     std::optional<leader_address> leader() const;
     std::optional<core::endpoint> leader_http() const;
@@ -168,6 +180,7 @@
     {
         core::request_id request;
         absl::Time received_at;
+        core::log_index commit_index; ///< When the read arrived.
     };
     std::deque<waiting_document> waiting_documents_;
     absl::btree_map<core::log_index, pending_call> pending_calls_;
@@ -188,6 +201,8 @@
     absl::Time next_hello_ = absl::InfinitePast();
     absl::Time next_controller_ = absl::InfinitePast();
     core::log_index applied_index_;
+    /// Committed entries that are not applied yet.
+    std::deque<consensus::entry> unapplied_;
     core::revision pushed_revision_;
     absl::Time stop_deadline_ = absl::InfiniteFuture();
     bool stopping_ = false;
--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -301,7 +301,9 @@
     const auto has_events = [this]() ABSL_NO_THREAD_SAFETY_ANALYSIS {
         return !inbox_.empty();
     };
-    mutex_.AwaitWithTimeout(absl::Condition(&has_events), tick_interval);
+    mutex_.AwaitWithTimeout(
+        absl::Condition(&has_events),
+        node_->has_backlog() ? absl::ZeroDuration() : tick_interval);
     return std::exchange(inbox_, {});
 }
 
