--- a/tests/control/fleet_state_test.cpp
+++ b/tests/control/fleet_state_test.cpp
@@ -282,8 +282,7 @@
 {
     fleet_state state(compile_sample);
     for (std::uint64_t i = 1; i <= history_limit + 1; ++i) {
-        state.apply(
-            rev(i), entry_joined{make_entry("e" + std::to_string(i), "d"), 1});
+        state.apply(rev(i), entry_joined{make_entry("e" + std::to_string(i), "d"), 1});
     }
     EXPECT_TRUE(std::holds_alternative<delta>(state.update_for(rev(1))));
     EXPECT_FALSE(std::holds_alternative<delta>(state.update_for(rev(0))));
--- a/tests/control/recovery_test.cpp
+++ b/tests/control/recovery_test.cpp
@@ -129,6 +129,21 @@
     EXPECT_EQ(world.entries_at(changes), world.entry_count());
 }
 
+// Guards against entries that obey an older state while a control instance that hears the
+// leader still applies its log.
+TEST_P(recovery, entries_obey_no_state_that_is_still_being_applied)
+{
+    restart_all();
+    const absl::Time end = world.now() + catch_up_limit;
+    while (world.now() < end) {
+        world.run_for(absl::Milliseconds(10));
+        for (std::size_t i = 0; i < world.entry_count(); ++i) {
+            const auto number = world.entry_at(i).link->replica().view()->document_number;
+            ASSERT_TRUE(number == 0 || number == changes) << i << " " << number;
+        }
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, recovery, testing::Range(std::size_t{0}, std::size_t{3}));
 
 // Guards against sending an entry without a state all changes that have ever been made.
