Send updates again from the first one that an entry lacks

Callers saw: a request refused with 404 as an older version says, later than the deadline after a newer one was acknowledged, while changes were made in quick succession.

Cause: control kept one time by which all updates sent to an entry should have arrived, and each update moved it by 0.7 s and more. With a change every 0.2 s that time was always in the future, so a report of an older revision was never taken as a loss, and each further update started at a revision that the entry didn't have.

Change: each update sent has its own expected arrival, by the time that the link needs for all bytes before it. A report that lacks an update which should have arrived makes control start again at the revision in force.

Evidence: following.entry_catches_up_after_a_lost_update failed (change 20 not in force after 2.18 s) and passes.

--- a/src/control/sync_clients.cpp
+++ b/src/control/sync_clients.cpp
@@ -28,12 +28,19 @@
     auto& known = clients_[it.entry.id];
     const bool is_same =
         known.incarnation == it.incarnation && known.internal == it.entry.internal;
-    const bool is_in_transit =
-        is_same && it.in_force < known.sent_revision && now < known.expected_arrival;
+    auto& in_transit = known.in_transit;
+    while (!in_transit.empty() && in_transit.front().revision <= it.in_force) {
+        in_transit.pop_front();
+    }
+    // Later updates start where an earlier one ends, so they are of no use if one is
+    // lost.
+    const bool is_complete =
+        is_same && !in_transit.empty() && now < in_transit.front().expected_arrival;
     known.internal = it.entry.internal;
     known.incarnation = it.incarnation;
     known.last_report = now;
-    if (!is_in_transit) {
+    if (!is_complete) {
+        in_transit.clear();
         known.sent_revision = it.in_force;
     }
     return known.sent_revision;
@@ -50,8 +57,9 @@
         return;
     }
     known.sent_revision = revision;
-    known.expected_arrival = std::max(known.expected_arrival, now) + delivery_time +
-                             absl::Seconds(static_cast<double>(bytes) / link_bytes_per_s);
+    known.link_free_at = std::max(known.link_free_at, now) +
+                         absl::Seconds(static_cast<double>(bytes) / link_bytes_per_s);
+    known.in_transit.push_back({revision, known.link_free_at + delivery_time});
 }
 
 sync_response sync_clients::make_response(
--- a/src/control/sync_clients_priv.hpp
+++ b/src/control/sync_clients_priv.hpp
@@ -7,6 +7,7 @@
 #include <absl/container/btree_map.h>
 #include <absl/time/time.h>
 
+#include <deque>
 #include <optional>
 #include <vector>
 
@@ -44,13 +45,20 @@
         std::vector<node_action>& out);
 
 private:
+    struct sent_update
+    {
+        core::revision revision;
+        absl::Time expected_arrival;
+    };
     struct client
     {
         core::endpoint internal;
         std::uint64_t incarnation = 0;
         core::revision sent_revision; ///< The newest revision sent, or reported in force.
-        /// The time by which all updates sent should have arrived.
-        absl::Time expected_arrival = absl::InfinitePast();
+        /// Updates sent that the entry has not reported in force, oldest first.
+        std::deque<sent_update> in_transit;
+        /// The time by which the link should have transmitted all of them.
+        absl::Time link_free_at = absl::InfinitePast();
         absl::Time last_report;
     };
 
