Count the age of a state from when it was known to be complete

Callers saw: requests handled as an older version says, after a newer one was acknowledged, by entries that had just got their state.

Cause: the age that an entry judges a control instance by was the time since that instance heard its leader. It didn't count that the instance still lacked or applied entries that the leader had committed, nor that the leader itself had lost the majority (for up to an election timeout).

Change: an append_request bears the time since a majority confirmed the leader; a replica knows from it since when it had everything (current_at), and the node since when it had applied it. All updates leave through sync_clients::push, with that age, encoded once for all entries at the same revision, and at most 256 KiB in a step; the answer to a report bears none. An entry without a state keeps old updates until one that completes them arrives.

--- a/include/cuminpitch/consensus/message.hpp
+++ b/include/cuminpitch/consensus/message.hpp
@@ -38,6 +38,9 @@
     core::log_index commit;
     std::vector<entry> entries;
     std::int64_t sent_us = 0; ///< Leader's clock; returned in `echo_us`.
+    /// Time since a majority confirmed the leader, not negative. An hour if it has not
+    /// committed an entry of its term.
+    std::int64_t majority_age_us = 0;
 
     friend bool operator==(const append_request&, const append_request&) = default;
 };
--- a/include/cuminpitch/consensus/replica.hpp
+++ b/include/cuminpitch/consensus/replica.hpp
@@ -120,6 +120,13 @@
     /// one for each member that has responded, other replicas only for the leader. Empty
     /// if there was no contact.
     std::optional<absl::Time> last_contact(const member_id& id) const;
+    /// Time at which this replica had committed everything that was committed in the
+    /// group, on its own clock. A time that a message spends on the way is not counted.
+    /// Infinite past if unknown.
+    absl::Time current_at() const;
+    /// Time since which a majority of the voters has confirmed this leader. Infinite past
+    /// if there is none yet, or if this replica does not lead.
+    absl::Time majority_contact() const;
 
 private:
     struct impl;
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -136,6 +136,18 @@
     return it == impl_->contacts_.end() ? std::nullopt : std::optional(it->second);
 }
 
+absl::Time replica::current_at() const
+{
+    return std::max(
+        impl_->current_at_,
+        impl_->synchronized_ ? impl_->majority_contact() : absl::InfinitePast());
+}
+
+absl::Time replica::majority_contact() const
+{
+    return impl_->majority_contact();
+}
+
 void replica::impl::start(absl::Time now)
 {
     now_ = now;
--- a/src/consensus/replica_election.cpp
+++ b/src/consensus/replica_election.cpp
@@ -1,6 +1,9 @@
 #include "replica_priv.hpp"
 
+#include <algorithm>
+#include <functional>
 #include <random>
+#include <vector>
 
 namespace cuminpitch::consensus {
 
@@ -130,6 +133,37 @@
     return in_contact >= members_.majority();
 }
 
+absl::Time replica::impl::majority_contact() const
+{
+    if (role_ != role::leader) {
+        return absl::InfinitePast();
+    }
+    std::vector<absl::Time> times;
+    for (const auto& it : members_.members()) {
+        if (it.role != member_role::voter) {
+            continue;
+        }
+        const auto contact = contacts_.find(it.id);
+        times.push_back(
+            it.id == self_               ? now_
+            : contact == contacts_.end() ? absl::InfinitePast()
+                                         : contact->second);
+    }
+    if (times.size() < members_.majority()) {
+        return absl::InfinitePast();
+    }
+    std::sort(times.begin(), times.end(), std::greater<>());
+    return times[members_.majority() - 1];
+}
+
+std::int64_t replica::impl::majority_age_us() const
+{
+    constexpr absl::Duration unknown = absl::Hours(1);
+    const absl::Duration age =
+        log_.term_at(commit_) == hard_state_.term ? now_ - majority_contact() : unknown;
+    return absl::ToInt64Microseconds(std::min(age, unknown));
+}
+
 bool replica::impl::is_up_to_date(const vote_request& request) const
 {
     return request.last_term > log_.last_term() ||
--- a/src/consensus/replica_following.cpp
+++ b/src/consensus/replica_following.cpp
@@ -45,6 +45,10 @@
         response.match = store_entries(request);
         record_leader_commit(request.commit);
         commit_to(std::max(commit_, std::min(request.commit, response.match)));
+        if (commit_ >= request.commit) {
+            current_at_ =
+                std::max(current_at_, now_ - absl::Microseconds(request.majority_age_us));
+        }
     } else {
         response.match = highest_possible_match(request.previous_index);
         response.refused_previous = request.previous_index;
--- a/src/consensus/replica_leading.cpp
+++ b/src/consensus/replica_leading.cpp
@@ -77,6 +77,7 @@
     request.previous_term = log_.term_at(request.previous_index).value_or(core::term());
     request.commit = commit_;
     request.sent_us = now_us();
+    request.majority_age_us = majority_age_us();
     if (with_entries) {
         request.entries =
             log_.slice(peer.next, options_.max_append_entries, options_.max_append_bytes);
--- a/src/consensus/replica_priv.hpp
+++ b/src/consensus/replica_priv.hpp
@@ -58,6 +58,9 @@
     void count_vote(const member_id& from);
     bool has_recent_leader_contact() const;
     bool has_recent_majority_contact() const;
+    absl::Time majority_contact() const;
+    /// The `majority_age_us` of the messages of this leader.
+    std::int64_t majority_age_us() const;
     bool is_up_to_date(const vote_request& request) const;
     void handle(
         const core::endpoint& to, const envelope& received, const vote_request& request);
@@ -158,6 +161,8 @@
     core::log_index commit_;
     core::log_index first_leader_commit_; ///< First commit index received from a leader.
     bool synchronized_ = false;
+    /// When this replica, as a follower, had everything that its leader had committed.
+    absl::Time current_at_ = absl::InfinitePast();
     /// The snapshot that is being received, and its bytes so far.
     std::optional<snapshot_info> incoming_snapshot_;
     std::string incoming_snapshot_bytes_;
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -17,9 +17,6 @@
 constexpr std::size_t entries_per_step = 32;
 constexpr std::size_t entry_bytes_per_step = 16U << 10U;
 
-/// Updates from this size on, and those of entries without a state, are logged.
-constexpr std::size_t logged_update_bytes = 32U << 10U;
-
 /// Whether the message carries a command that is already compressed.
 bool has_packed_command(const consensus::envelope& it)
 {
@@ -136,13 +133,14 @@
 
 void node::impl::receive_report(const net::peer& from, const sync_request& it)
 {
-    const auto base = clients_.record_report(now_, it);
+    clients_.record_report(now_, it);
+    has_unsent_updates_ = true;
     if (is_leader()) {
         report_to_controller(it);
-        answer_report(it, from.internal, base, can_confirm(it));
+        answer_report(it, from.internal, can_confirm(it));
         return;
     }
-    answer_report(it, from.internal, base, false);
+    answer_report(it, from.internal, false);
     auto& next_relay = next_relays_[it.entry.id];
     if (now_ < next_relay) {
         return;
@@ -166,31 +164,20 @@
 
 bool node::impl::can_confirm(const sync_request& it)
 {
-    return controller_ && confirmations_.record_report(now_, it, majority_contact()) &&
+    return controller_ &&
+           confirmations_.record_report(now_, it, replica_->majority_contact()) &&
            can_decide();
 }
 
 void node::impl::answer_report(
-    const sync_request& it, const core::endpoint& to, core::revision base, bool confirmed)
+    const sync_request& it, const core::endpoint& to, bool confirmed)
 {
-    auto response = sync_clients::make_response(state_, base, leader(), confirmed);
+    // The update follows in push_state(), encoded once for all entries that need it.
+    sync_response response{
+        delta{it.in_force, it.in_force, {}}, state_.revision(), leader(), confirmed};
     fill_response(response, it);
-    net::frame encoded{net::channel::control, wire::encode(message(response))};
-    encoded.is_mostly_compressed =
-        std::holds_alternative<packed_contents>(response.update);
-    const auto frame = net::compress_payload(std::move(encoded));
-    clients_.record_sent(now_, it.entry.id, state_.revision(), frame.payload.size());
-    if (base < state_.revision() &&
-        (base == core::revision() || frame.payload.size() >= logged_update_bytes)) {
-        log(telemetry::severity::info,
-            "update sent",
-            {{"entry", it.entry.id.str()},
-             {"base", static_cast<std::int64_t>(base.value())},
-             {"revision", static_cast<std::int64_t>(state_.revision().value())},
-             {"bytes", static_cast<std::int64_t>(frame.payload.size())},
-             {"age_ms", absl::ToInt64Milliseconds(response.age)}});
-    }
-    actions_.emplace_back(action::send_frame{to, frame});
+    actions_.emplace_back(action::send_frame{
+        to, net::frame{net::channel::control, wire::encode(message(response))}});
 }
 
 /// Confirms a forwarded report without an update: the entry gets the state from the
@@ -384,17 +371,11 @@
     return result;
 }
 
-/// Returns the time since a leader with a majority had contact with this instance.
+/// Returns the time since this instance's state included everything that was committed.
 absl::Duration node::impl::state_age() const
 {
     constexpr absl::Duration max_age = absl::Hours(1);
-    absl::Time since = absl::InfinitePast();
-    if (is_leader()) {
-        since = majority_contact();
-    } else if (!replica_->leader().empty() && replica_->synchronized()) {
-        since = replica_->last_contact(replica_->leader()).value_or(absl::InfinitePast());
-    }
-    return std::min(now_ - since, max_age);
+    return std::min(now_ - current_at_, max_age);
 }
 
 void node::impl::fill_response(sync_response& it, const sync_request& to)
@@ -517,9 +498,14 @@
 
 void node::impl::push_state()
 {
-    if (state_.revision() != pushed_revision_) {
+    if (!unapplied_.empty()) {
+        return; // The state is soon replaced by a newer one.
+    }
+    current_at_ = std::max(current_at_, replica_->current_at());
+    if (state_.revision() != pushed_revision_ || has_unsent_updates_) {
         pushed_revision_ = state_.revision();
-        clients_.push(now_, state_, leader(), actions_);
+        has_unsent_updates_ =
+            !clients_.push(now_, state_, leader(), state_age(), actions_);
     }
 }
 
@@ -579,26 +565,6 @@
     return known == nullptr ? std::nullopt : std::optional(known->http);
 }
 
-absl::Time node::impl::majority_contact() const
-{
-    std::vector<absl::Time> contacts;
-    for (const auto& it : replica_->members().members()) {
-        if (it.role != consensus::member_role::voter) {
-            continue;
-        }
-        contacts.push_back(
-            it.id == options_.identity
-                ? now_
-                : replica_->last_contact(it.id).value_or(absl::InfinitePast()));
-    }
-    const auto majority = replica_->members().majority();
-    if (contacts.size() < majority) {
-        return absl::InfinitePast();
-    }
-    std::sort(contacts.rbegin(), contacts.rend());
-    return contacts[majority - 1];
-}
-
 std::string node::impl::silent_voters() const
 {
     std::string out;
--- a/src/control/node_calls.cpp
+++ b/src/control/node_calls.cpp
@@ -167,9 +167,8 @@
     if (pending_reads_.empty()) {
         return;
     }
-    const absl::Time confirmed = is_leader() && replica_->synchronized()
-                                     ? majority_contact()
-                                     : absl::InfinitePast();
+    const absl::Time confirmed =
+        replica_->synchronized() ? replica_->majority_contact() : absl::InfinitePast();
     while (!pending_reads_.empty()) {
         const auto& next = pending_reads_.front();
         const bool is_applied = applied_index_ >= next.commit_index;
--- a/src/control/node_impl_priv.hpp
+++ b/src/control/node_impl_priv.hpp
@@ -49,7 +49,7 @@
         return std::exchange(actions_, {});
     }
 
-    bool has_backlog() const { return !unapplied_.empty(); }
+    bool has_backlog() const { return !unapplied_.empty() || has_unsent_updates_; }
 
 private:
     void on(event::operator_request& it);
@@ -86,11 +86,7 @@
     /// Whether the response to this report may be marked as confirmed; see
     /// sync_response::confirmed.
     bool can_confirm(const sync_request& it);
-    void answer_report(
-        const sync_request& it,
-        const core::endpoint& to,
-        core::revision base,
-        bool confirmed);
+    void answer_report(const sync_request& it, const core::endpoint& to, bool confirmed);
     void confirm_relayed(const sync_request& it);
     void send_hellos();
     void reconcile_members();
@@ -139,7 +135,6 @@
     bool is_leader() const { return replica_->role() == consensus::role::leader; }
     std::optional<leader_address> leader() const;
     std::optional<core::endpoint> leader_http() const;
-    absl::Time majority_contact() const;
     void respond(core::request_id id, http::response it);
     void
     log(telemetry::severity severity,
@@ -204,6 +199,9 @@
     /// Committed entries that are not applied yet.
     std::deque<consensus::entry> unapplied_;
     core::revision pushed_revision_;
+    bool has_unsent_updates_ = false;
+    /// When the applied state included everything that was committed in the group.
+    absl::Time current_at_ = absl::InfinitePast();
     absl::Time stop_deadline_ = absl::InfiniteFuture();
     bool stopping_ = false;
     bool exited_ = false;
--- a/src/control/sync_clients.cpp
+++ b/src/control/sync_clients.cpp
@@ -21,6 +21,25 @@
 /// may be lost.
 constexpr unsigned confirmation_limit = 5;
 
+/// Limit of the updates sent in one step, so that messages between control instances
+/// don't wait for those of hundreds of entries.
+constexpr std::size_t bytes_per_step = 256U << 10U;
+/// Updates from this size on, and those of entries without a state, are logged.
+constexpr std::size_t logged_update_bytes = 32U << 10U;
+
+net::frame encode_update(
+    const fleet_state& state,
+    core::revision base,
+    const std::optional<leader_address>& leader,
+    absl::Duration age)
+{
+    sync_response it{state.packed_update_for(base), state.revision(), leader};
+    it.age = age;
+    net::frame frame{net::channel::control, wire::encode(message(it))};
+    frame.is_mostly_compressed = std::holds_alternative<packed_contents>(it.update);
+    return net::compress_payload(std::move(frame));
+}
+
 } // namespace
 
 core::revision sync_clients::record_report(absl::Time now, const sync_request& it)
@@ -62,19 +81,11 @@
     known.in_transit.push_back({revision, known.link_free_at + delivery_time});
 }
 
-sync_response sync_clients::make_response(
-    const fleet_state& state,
-    core::revision base,
-    const std::optional<leader_address>& leader,
-    bool confirmed)
-{
-    return {state.packed_update_for(base), state.revision(), leader, confirmed};
-}
-
-void sync_clients::push(
+bool sync_clients::push(
     absl::Time now,
     const fleet_state& state,
     const std::optional<leader_address>& leader,
+    absl::Duration age,
     std::vector<node_action>& out)
 {
     absl::erase_if(clients_, [&](const auto& it) {
@@ -82,20 +93,35 @@
     });
     // Clients at the same revision get the same bytes, so each update is encoded once.
     absl::btree_map<core::revision, net::frame> frames;
+    std::size_t bytes = 0;
     for (auto& [id, it] : clients_) {
         if (it.sent_revision >= state.revision()) {
             continue;
         }
-        const auto [frame, is_new] = frames.try_emplace(it.sent_revision);
+        if (bytes >= bytes_per_step) {
+            return false;
+        }
+        const auto base = it.sent_revision;
+        const auto [frame, is_new] = frames.try_emplace(base);
         if (is_new) {
-            frame->second = net::compress_payload(
-                {net::channel::control,
-                 wire::encode(
-                     message(make_response(state, it.sent_revision, leader, false)))});
+            frame->second = encode_update(state, base, leader, age);
         }
         out.emplace_back(action::send_frame{it.internal, frame->second});
-        record_sent(now, id, state.revision(), frame->second.payload.size());
+        const auto size = frame->second.payload.size();
+        bytes += size;
+        record_sent(now, id, state.revision(), size);
+        if (base == core::revision() || size >= logged_update_bytes) {
+            out.emplace_back(action::write_log{
+                telemetry::severity::info,
+                "update sent",
+                {{"entry", id.str()},
+                 {"base", static_cast<std::int64_t>(base.value())},
+                 {"revision", static_cast<std::int64_t>(state.revision().value())},
+                 {"bytes", static_cast<std::int64_t>(size)},
+                 {"age_ms", absl::ToInt64Milliseconds(age)}}});
+        }
     }
+    return true;
 }
 
 bool entry_confirmations::record_report(
--- a/src/control/sync_clients_priv.hpp
+++ b/src/control/sync_clients_priv.hpp
@@ -30,18 +30,14 @@
         core::revision revision,
         std::size_t bytes);
 
-    /// Makes the answer to a report.
-    static sync_response make_response(
-        const fleet_state& state,
-        core::revision base,
-        const std::optional<leader_address>& leader,
-        bool confirmed);
-
-    /// Sends the newest state to each current client that hasn't been sent it yet.
-    void push(
+    /// Sends the newest state to each current client that hasn't been sent it yet, up to
+    /// the limit of one step. `age` is the time since the state was known to be the
+    /// newest. Returns whether all clients have been sent it.
+    bool push(
         absl::Time now,
         const fleet_state& state,
         const std::optional<leader_address>& leader,
+        absl::Duration age,
         std::vector<node_action>& out);
 
 private:
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -15,6 +15,13 @@
         to, net::frame{net::channel::control, wire::encode(message)}};
 }
 
+/// Whether this is an answer to a report, whose update follows separately.
+bool is_empty(const control::update& it)
+{
+    const auto* step = std::get_if<control::delta>(&it);
+    return step != nullptr && step->commands.empty();
+}
+
 } // namespace
 
 control_link::control_link(const node_options& options, control::compile_function compile)
@@ -156,9 +163,14 @@
     const auto before = replica_.revision();
     if (!is_fresh && before == core::revision() &&
         now - started_ < options_.start_window) {
-        stale_updates_.push_back(response.update);
+        if (!is_empty(response.update)) {
+            stale_updates_.push_back({response.update, response.current});
+        }
         return;
     }
+    if (is_fresh && !stale_updates_.empty() && !completes_stale_updates(response)) {
+        return; // The update that the state lacks follows.
+    }
     apply_stale_updates();
     apply(response.update, from, out);
     if (response.confirmed && replica_.revision() >= response.current) {
@@ -192,12 +204,23 @@
          {"revision", static_cast<std::int64_t>(replica_.revision().value())}}});
 }
 
+bool control_link::completes_stale_updates(const control::sync_response& response) const
+{
+    const auto* step = std::get_if<control::delta>(&response.update);
+    core::revision known;
+    for (const auto& it : stale_updates_) {
+        known = std::max(known, it.current);
+    }
+    return step == nullptr || known >= response.current ||
+           (step->base <= known && step->current >= response.current);
+}
+
 /// Applies the updates in the order of arrival, because a later one may start at the
 /// revision where an earlier one ends.
 void control_link::apply_stale_updates()
 {
     for (const auto& it : std::exchange(stale_updates_, {})) {
-        replica_.apply(it);
+        replica_.apply(it.update);
     }
 }
 
--- a/src/entry/control_link_priv.hpp
+++ b/src/entry/control_link_priv.hpp
@@ -56,7 +56,15 @@
     }
 
 private:
+    struct stale_update
+    {
+        control::update update;
+        core::revision current; ///< The revision that it leads to.
+    };
+
     control::sync_request make_request(absl::Time now);
+    /// Whether the stale updates and this one lead to the newest state of its sender.
+    bool completes_stale_updates(const control::sync_response& response) const;
     /// Switches to the next control instance because the current one does not respond.
     void switch_target(absl::Time now, std::vector<node_action>& out);
     void ask_peers(std::vector<node_action>& out);
@@ -96,7 +104,7 @@
     /// recent contact with a majority. After a restart, such an instance may lack
     /// acknowledged changes, so they are applied only when the start window ends or
     /// together with an up-to-date update.
-    std::vector<control::update> stale_updates_;
+    std::vector<stale_update> stale_updates_;
     bool draining_ = false;
     bool confirmed_ = false;
     /// No control instance has responded since the last one was considered lost.
--- a/src/wire/consensus_codec.cpp
+++ b/src/wire/consensus_codec.cpp
@@ -103,7 +103,8 @@
                 it.previous_term.value(),
                 it.commit.value(),
                 &entries,
-                it.sent_us)
+                it.sent_us,
+                it.majority_age_us)
                 .Union()};
     }
     result operator()(const model::append_response& it)
@@ -231,6 +232,10 @@
     out.previous_term = core::term(in.previous_term());
     out.commit = core::log_index(in.commit());
     out.sent_us = in.sent_us();
+    out.majority_age_us = in.majority_age_us();
+    if (out.majority_age_us < 0) {
+        return std::nullopt;
+    }
     core::log_index index = out.previous_index;
     core::term term = out.previous_term;
     if (in.entries() != nullptr) {
--- a/tests/consensus/consensus_codec_test.cpp
+++ b/tests/consensus/consensus_codec_test.cpp
@@ -30,6 +30,7 @@
     out.previous_term = core::term(3);
     out.commit = core::log_index(8);
     out.sent_us = -7;
+    out.majority_age_us = 9;
     out.entries = {
         {core::log_index(11), core::term(3), command{std::string("a\0b", 3)}},
         {core::log_index(12), core::term(5), no_operation{}},
--- a/tests/control/group_test.cpp
+++ b/tests/control/group_test.cpp
@@ -125,6 +125,31 @@
     EXPECT_EQ(newest_document_number(world), 4U);
 }
 
+// Guards against a follower that calls its state current because it hears a leader that
+// has lost the majority.
+TEST(group, state_of_a_follower_is_as_old_as_its_leaders_majority)
+{
+    group_simulation world(5, 3);
+    world.run_for(absl::Seconds(5));
+    const auto leader = world.leader();
+    ASSERT_TRUE(leader.has_value());
+    const std::size_t follower = (*leader + 1) % 5;
+    for (std::size_t i = 0; i < 5; ++i) {
+        if (i != *leader && i != follower) {
+            world.cut_link(*leader, i);
+            world.cut_link(follower, i);
+        }
+    }
+    constexpr absl::Duration cut_off = absl::Milliseconds(450);
+    world.run_for(cut_off);
+    sync_request it;
+    it.entry = make_entry("e1", "d1");
+    it.entry.internal = {"10.8.0.1", 7000};
+    const auto response = world.report(follower, it, absl::Milliseconds(10));
+    ASSERT_TRUE(response.has_value());
+    EXPECT_GE(response->age, cut_off - absl::Milliseconds(10));
+}
+
 // Guards against a group that tolerates fewer failures after each replaced machine.
 TEST(group, permanently_lost_voter_is_replaced)
 {
--- a/tests/control/sync_clients_test.cpp
+++ b/tests/control/sync_clients_test.cpp
@@ -36,11 +36,12 @@
     std::vector<net::frame> push()
     {
         std::vector<node_action> out;
-        clients.push(now, state, std::nullopt, out);
+        all_sent = clients.push(now, state, std::nullopt, absl::ZeroDuration(), out);
         std::vector<net::frame> frames;
-        frames.reserve(out.size());
         for (auto& it : out) {
-            frames.push_back(std::get<action::send_frame>(it).message);
+            if (auto* sent = std::get_if<action::send_frame>(&it)) {
+                frames.push_back(std::move(sent->message));
+            }
         }
         return frames;
     }
@@ -50,6 +51,7 @@
     sync_request report;
     absl::Time now = absl::FromUnixSeconds(1000);
     std::uint64_t changes = 0;
+    bool all_sent = false; ///< By the last push().
 };
 
 // Guards against sending a second copy of an update that is still in transit: on a link
@@ -91,6 +93,33 @@
     EXPECT_EQ(clients.record_report(now, report), rev(0));
 }
 
+// Guards against one step that sends the state to hundreds of entries while messages
+// between control instances wait.
+TEST_F(sync_clients_test, large_updates_are_divided_into_steps)
+{
+    constexpr std::size_t clients_count = 100;
+    for (int n = 0; n < 2000; ++n) {
+        change();
+    }
+    for (std::size_t i = 0; i < clients_count; ++i) {
+        report.entry.id = core::instance_id("e" + std::to_string(i));
+        clients.record_report(now, report);
+    }
+    std::size_t sent = 0;
+    std::size_t steps = 0;
+    for (all_sent = false; !all_sent; ++steps) {
+        const auto frames = push();
+        std::size_t bytes = 0;
+        for (const auto& it : frames) {
+            bytes += it.payload.size();
+        }
+        EXPECT_LE(bytes, (256U << 10U) + frames.front().payload.size());
+        sent += frames.size();
+    }
+    EXPECT_EQ(sent, clients_count);
+    EXPECT_GT(steps, 1U);
+}
+
 // Guards against omitting updates for a restarted entry because they were sent to its
 // earlier incarnation.
 TEST_F(sync_clients_test, restarted_entry_gets_the_state_at_once)
