--- a/tests/control/group_test.cpp
+++ b/tests/control/group_test.cpp
@@ -166,6 +166,44 @@
     EXPECT_TRUE(world.ask_any(group_simulation::declare(3)));
 }
 
+// Guards against replaced voters that still count towards the majority when the next disk
+// is lost and all lose power: no majority was left for good. Each replacement also takes
+// the leader away.
+TEST(group, configuration_survives_a_lost_disk_after_several_replacements)
+{
+    constexpr absl::Duration catch_up = absl::Seconds(4);
+    for (std::size_t lost = 0; lost < 5; ++lost) {
+        group_simulation world(5, 3);
+        world.run_for(absl::Seconds(5));
+        for (int round = 0; round < 3; ++round) {
+            const auto leader = world.leader();
+            ASSERT_TRUE(leader.has_value());
+            world.stop(*leader);
+            world.run_for(absl::Seconds(1));
+            world.add();
+            world.run_for(catch_up);
+        }
+        ASSERT_TRUE(world.ask_any(group_simulation::declare(3)));
+        std::vector<std::size_t> running;
+        for (std::size_t i = 0; i < world.size(); ++i) {
+            if (world.at(i).running) {
+                EXPECT_EQ(world.voters(i), 5U) << i;
+                running.push_back(i);
+            }
+        }
+        ASSERT_EQ(running.size(), 5U);
+        for (const std::size_t i : running) {
+            world.stop(i);
+            world.at(i).storage->crash(0);
+        }
+        world.wipe(running[lost]);
+        for (const std::size_t i : running) {
+            world.start(i);
+        }
+        EXPECT_EQ(world.read_as_operator(absl::Seconds(3)), 3U) << lost;
+    }
+}
+
 // Guards against rejecting a document that is sent again because the first answer was
 // lost, and against rejecting an older document instead of acknowledging it.
 TEST(group, repeated_and_older_documents_are_accepted_without_effect)
