Remove a silent voter sooner if that lowers the majority

Cause: a voter that never returns was removed after 15 s of silence, and each new leader counted that time anew. Replacements a few seconds apart, each with a change of leader, left voters that don't exist in the group, all of which count towards the majority.

Change: in a group of even size a voter that has been silent for 2 s is removed, since one voter less then lowers the majority and never costs availability; in one of odd size the 15 s remain. Silence counts from the last hello or response, whoever leads. cuminpitch_silent_voters and cuminpitch_learners show a group in repair.

--- a/include/cuminpitch/control/node.hpp
+++ b/include/cuminpitch/control/node.hpp
@@ -33,9 +33,11 @@
     /// `admits_members`.
     std::vector<core::endpoint> peers;
     /// Control instances that send hellos become voters, and voters without contact for
-    /// `silent_voter_timeout` are removed.
+    /// `silent_voter_timeout` are removed. In a group of even size one voter less lowers
+    /// the majority and costs nothing, so `surplus_voter_timeout` holds.
     bool admits_members = false;
     absl::Duration silent_voter_timeout = absl::Seconds(15);
+    absl::Duration surplus_voter_timeout = absl::Seconds(2);
     /// Time between membership changes, each of which needs a commit.
     absl::Duration member_interval = absl::Milliseconds(50);
     /// Entries named in an answer to callers; more are named if servers have many slots.
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -88,6 +88,7 @@
 
 void node::impl::on(event::tick&)
 {
+    started_ = std::min(started_, now_);
     replica_->tick(now_);
     if (now_ >= next_hello_) {
         next_hello_ = now_ + options_.hello_interval;
@@ -281,39 +282,57 @@
     }
 }
 
+/// Returns the time of the last message from a voter. Hellos count too, so that a new
+/// leader knows how long a voter has been silent.
+absl::Time node::impl::last_heard(const consensus::member& it) const
+{
+    if (it.id == options_.identity) {
+        return now_;
+    }
+    const auto* known = directory_.at(it.internal);
+    const bool is_same = known != nullptr && known->identity == it.id;
+    return std::max(
+        {replica_->last_contact(it.id).value_or(absl::InfinitePast()),
+         is_same ? known->last_heard : absl::InfinitePast(),
+         started_});
+}
+
 /// Removes a voter without contact, since one that never returns would count towards
 /// every majority. At least three voters must be in contact, so that the group still
 /// tolerates the loss of one.
 void node::impl::remove_silent_voter()
 {
     constexpr std::size_t min_voters = 3;
-    const auto last_contact = [&](const consensus::member& it) {
-        return it.id == options_.identity
-                   ? now_
-                   : std::max(
-                         replica_->last_contact(it.id).value_or(absl::InfinitePast()),
-                         leader_since_);
-    };
+    // A new leader has heard from the voters that are in contact with it by then.
+    constexpr absl::Duration settling_time = absl::Seconds(1);
+    if (now_ < leader_since_ + settling_time) {
+        return;
+    }
     std::size_t present = 0;
     const consensus::member* silent = nullptr;
     for (const auto& it : replica_->members().members()) {
         if (it.role != consensus::member_role::voter) {
             continue;
         }
-        const auto age = now_ - last_contact(it);
-        present += age < absl::Seconds(1) ? 1 : 0;
-        if (age >= options_.silent_voter_timeout) {
+        present += now_ - last_heard(it) < absl::Seconds(1) ? 1 : 0;
+        if (silent == nullptr || last_heard(it) < last_heard(*silent)) {
             silent = &it;
         }
     }
-    if (silent == nullptr || present < min_voters) {
+    const bool is_surplus = replica_->members().voter_count() % 2 == 0;
+    const auto timeout =
+        is_surplus ? options_.surplus_voter_timeout : options_.silent_voter_timeout;
+    if (silent == nullptr || now_ - last_heard(*silent) < timeout ||
+        present < min_voters) {
         return;
     }
     const consensus::member removed = *silent;
     if (replica_->change_members(now_, consensus::remove_member{removed.id})) {
         log(telemetry::severity::warning,
             "removing silent voter",
-            {{"id", removed.name.str()}, {"identity", removed.id.str()}});
+            {{"id", removed.name.str()},
+             {"identity", removed.id.str()},
+             {"silent_ms", absl::ToInt64Milliseconds(now_ - last_heard(removed))}});
     }
 }
 
--- a/src/control/node_impl_priv.hpp
+++ b/src/control/node_impl_priv.hpp
@@ -91,6 +91,7 @@
     void send_hellos();
     void reconcile_members();
     void remove_silent_voter();
+    absl::Time last_heard(const consensus::member& it) const;
     std::vector<core::endpoint> known_instances() const;
     std::vector<core::endpoint> member_endpoints() const;
     std::vector<core::endpoint> members_for(const entry_record& entry) const;
@@ -115,6 +116,7 @@
     void expire_proposals();
     void continue_stop();
 
+    void set_member_metrics();
     bool answer_locally(core::request_id id, const http::request& message);
     void answer_request(const event::operator_request& it);
     void answer_change(const event::operator_request& it);
@@ -184,6 +186,7 @@
     core::revision server_slots_revision_;
     std::size_t server_slots_ = 0;
     absl::btree_map<core::instance_id, absl::Time> next_relays_;
+    absl::Time started_ = absl::InfiniteFuture();
     absl::Time leader_since_ = absl::InfiniteFuture();
     leader_absence leader_absence_;
     absl::Time next_member_change_ = absl::InfinitePast();
--- a/src/control/node_operator.cpp
+++ b/src/control/node_operator.cpp
@@ -27,6 +27,7 @@
         metrics_.set(
             "cuminpitch_revision", static_cast<double>(state_.revision().value()));
         metrics_.set("cuminpitch_is_leader", is_leader() ? 1 : 0);
+        set_member_metrics();
         metrics_.set(
             "cuminpitch_log_entries",
             static_cast<double>(
@@ -41,6 +42,21 @@
     return false;
 }
 
+void node::impl::set_member_metrics()
+{
+    std::size_t silent = 0;
+    std::size_t learners = 0;
+    for (const auto& it : replica_->members().members()) {
+        const bool is_voter = it.role == consensus::member_role::voter;
+        learners += is_voter ? 0 : 1;
+        silent += is_voter && now_ - last_heard(it) >= absl::Seconds(2) ? 1 : 0;
+    }
+    metrics_.set(
+        "cuminpitch_voters", static_cast<double>(replica_->members().voter_count()));
+    metrics_.set("cuminpitch_silent_voters", static_cast<double>(silent));
+    metrics_.set("cuminpitch_learners", static_cast<double>(learners));
+}
+
 void node::impl::answer_request(const event::operator_request& it)
 {
     const http::request& message = *it.message;
