--- a/tests/control/group_simulation.cpp
+++ b/tests/control/group_simulation.cpp
@@ -113,7 +113,6 @@
         it.options.start_window = absl::Milliseconds(2500);
         it.options.stale_state_limit = absl::Milliseconds(700);
         it.options.sync_timeout = absl::Milliseconds(400);
-        it.options.control = seeds_;
         entry_numbers_[it.options.self.internal] = i;
     }
     for (std::size_t i = entries_.size() - count; i < entries_.size(); ++i) {
@@ -125,6 +124,8 @@
 {
     auto& it = entries_[i];
     ++it.options.incarnation;
+    // The settings name instances that exist when the process starts.
+    it.options.control = seeds_;
     it.link = std::make_unique<entry::control_link>(it.options, compile_sample);
 }
 
