Read JSON of other writers in one strict way

Other operators saw machines that ended again and again because of one odd entry. Here a change whose value is nested 100,000 levels deep ended a control instance, and each other one that the operator tried next.

Cause: nine readers parsed JSON each in its own way. nlohmann::json parses without recursion, but copying and writing a value recurses once a level. Integers were converted from any number, which is undefined for 1e30.

--- a/src/cli/control_client.cpp
+++ b/src/cli/control_client.cpp
@@ -1,5 +1,7 @@
 #include "control_client_priv.hpp"
 
+#include "cuminpitch/core/json.hpp"
+
 #include <absl/random/distributions.h>
 #include <absl/time/clock.h>
 #include <curl/curl.h>
@@ -152,7 +154,10 @@
 control_client::parse_response(long status, const std::string& text, response& to)
 {
     to.status = static_cast<int>(status);
-    to.body = nlohmann::json::parse(text, nullptr, false);
+    // An answer with the history holds values in lists of operations of changes.
+    constexpr int max_answer_depth = core::max_json_depth + 8;
+    auto parsed = core::parse_json(text, max_answer_depth);
+    to.body = parsed.reason.empty() ? std::move(parsed.value) : nlohmann::json();
     if (status == status_misdirected) {
         follow_redirect(to.body);
         return attempt_result::redirected;
--- a/src/cli/explain.cpp
+++ b/src/cli/explain.cpp
@@ -1,8 +1,7 @@
 #include "commands_priv.hpp"
 
 #include "cuminpitch/cli/run.hpp"
-
-#include <nlohmann/json.hpp>
+#include "cuminpitch/core/json.hpp"
 
 #include <algorithm>
 #include <fstream>
@@ -20,9 +19,11 @@
 nlohmann::ordered_json parse_log_object(const std::string& line)
 {
     const auto begin = line.find('{');
-    return begin == std::string::npos
-               ? nlohmann::ordered_json()
-               : nlohmann::ordered_json::parse(line.substr(begin), nullptr, false);
+    if (begin == std::string::npos ||
+        !core::parse_json(line.substr(begin)).reason.empty()) {
+        return {};
+    }
+    return nlohmann::ordered_json::parse(line.substr(begin), nullptr, false);
 }
 
 std::string plain_text(const nlohmann::ordered_json& value)
--- a/src/config/loader.cpp
+++ b/src/config/loader.cpp
@@ -1,7 +1,7 @@
 #include "cuminpitch/config/loader.hpp"
 
 #include "cuminpitch/config/compile.hpp"
-#include "json_priv.hpp"
+#include "cuminpitch/core/json.hpp"
 
 #include <absl/strings/str_cat.h>
 
@@ -135,7 +135,7 @@
         }
         const std::string text{
             std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
-        const parsed_json parsed = parse_json(text);
+        const auto parsed = core::parse_json(text);
         if (!parsed.reason.empty()) {
             report(file, parsed.reason);
         } else if (!parsed.value.is_object() || parsed.value.empty()) {
--- a/src/config/object_reader.cpp
+++ b/src/config/object_reader.cpp
@@ -157,7 +157,7 @@
     if (it == object_.end()) {
         return std::nullopt;
     }
-    parsed_json parsed = parse_json(*it->second);
+    core::parsed_json parsed = core::parse_json(*it->second);
     if (!parsed.reason.empty()) {
         report(name, parsed.reason);
         return std::nullopt;
@@ -168,7 +168,9 @@
 void object_reader::refuse(
     const std::string& name, const nlohmann::json& value, const std::string& allowed)
 {
-    report(name, "value " + value.dump() + " is not allowed; allowed: " + allowed);
+    report(
+        name,
+        "value " + core::write_json(value) + " is not allowed; allowed: " + allowed);
 }
 
 } // namespace cuminpitch::config
--- a/src/config/object_reader_priv.hpp
+++ b/src/config/object_reader_priv.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cuminpitch/config/settings.hpp"
-#include "json_priv.hpp"
+#include "cuminpitch/core/json.hpp"
 
 #include <cstdint>
 #include <functional>
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -1,6 +1,6 @@
 #include "cuminpitch/config/settings.hpp"
 
-#include "json_priv.hpp"
+#include "cuminpitch/core/json.hpp"
 
 #include <algorithm>
 
@@ -22,7 +22,7 @@
 
 core::result<std::string> canonical_json(const std::string& text)
 {
-    const parsed_json it = parse_json(text);
+    const auto it = core::parse_json(text);
     if (!it.reason.empty()) {
         return core::make_error_code(core::errc::invalid_change);
     }
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -1,17 +1,27 @@
 #include "control/operator_api_priv.hpp"
 
 #include "cuminpitch/config/settings.hpp"
-
-#include <nlohmann/json.hpp>
+#include "cuminpitch/core/json.hpp"
 
 namespace cuminpitch::control {
 namespace {
 
 using json = nlohmann::json;
 
+/// A value may be nested as deeply as in a declaration, within a list of operations.
+constexpr int max_body_depth = core::max_json_depth + 3;
+
+/// Returns the object of the body, or a null value if it isn't one.
+json parse_object(const std::string& body)
+{
+    auto parsed = core::parse_json(body, max_body_depth);
+    return parsed.reason.empty() && parsed.value.is_object() ? std::move(parsed.value)
+                                                             : json();
+}
+
 http::response answer(int status, const json& body)
 {
-    return http::json_response(status, body.dump());
+    return http::json_response(status, core::write_json(body));
 }
 
 struct outcome_writer
@@ -55,7 +65,7 @@
         return std::nullopt;
     }
     if (!deletes) {
-        auto text = config::canonical_json(it["value"].dump());
+        auto text = config::canonical_json(core::write_json(it["value"]));
         if (!text) {
             return std::nullopt;
         }
@@ -100,7 +110,7 @@
 std::variant<change, malformed_body>
 parse_change(const std::string& body, std::int64_t wall_clock_ms)
 {
-    const json parsed = json::parse(body, nullptr, false);
+    const json parsed = parse_object(body);
     if (!parsed.is_object()) {
         return malformed_body{"the body must be a JSON object"};
     }
@@ -137,7 +147,7 @@
 {
     const malformed_body malformed{
         "instances must be a non-empty array of host:port strings"};
-    const json parsed = json::parse(body, nullptr, false);
+    const json parsed = parse_object(body);
     if (!parsed.is_object() || !parsed.contains("instances") ||
         !parsed["instances"].is_array() || parsed["instances"].empty()) {
         return malformed;
@@ -156,7 +166,7 @@
 
 std::variant<set_assignment, malformed_body> parse_reassign(const std::string& body)
 {
-    const json parsed = json::parse(body, nullptr, false);
+    const json parsed = parse_object(body);
     if (!parsed.is_object() || !parsed.contains("pool") || !parsed["pool"].is_string() ||
         !parsed.contains("entries") || !parsed["entries"].is_array() ||
         parsed["entries"].empty() || parsed["entries"].size() > assignment_limit) {
--- a/src/core/endpoint.cpp
+++ b/src/core/endpoint.cpp
@@ -1,7 +1,9 @@
 #include "cuminpitch/core/endpoint.hpp"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
 
 namespace cuminpitch::core {
@@ -22,8 +24,14 @@
     if (inet_pton(AF_INET, result.host.c_str(), &address) != 1) {
         return std::nullopt;
     }
+    // SimpleAtoi() accepts spaces and a sign.
+    const std::string digits = text.substr(colon + 1);
+    const bool has_only_digits = std::all_of(digits.begin(), digits.end(), [](char c) {
+        return absl::ascii_isdigit(static_cast<unsigned char>(c));
+    });
     std::uint32_t port = 0;
-    if (!absl::SimpleAtoi(text.substr(colon + 1), &port) || port == 0 || port > 65535) {
+    if (!has_only_digits || !absl::SimpleAtoi(digits, &port) || port == 0 ||
+        port > 65535) {
         return std::nullopt;
     }
     result.port = static_cast<std::uint16_t>(port);
--- a/src/daemon/fault_injection.cpp
+++ b/src/daemon/fault_injection.cpp
@@ -1,6 +1,6 @@
 #include "daemon/fault_injection_priv.hpp"
 
-#include <nlohmann/json.hpp>
+#include "cuminpitch/core/json.hpp"
 
 #include <optional>
 #include <utility>
@@ -13,8 +13,9 @@
 
 std::optional<std::vector<core::endpoint>> parse(const std::string& body)
 {
-    const auto parsed = nlohmann::json::parse(body, nullptr, false);
-    if (!parsed.is_object() || !parsed.contains("block_to") ||
+    const auto read = core::parse_json(body);
+    const auto& parsed = read.value;
+    if (!read.reason.empty() || !parsed.is_object() || !parsed.contains("block_to") ||
         !parsed["block_to"].is_array()) {
         return std::nullopt;
     }
--- a/src/entry/api.cpp
+++ b/src/entry/api.cpp
@@ -1,6 +1,6 @@
 #include "entry/api_priv.hpp"
 
-#include <nlohmann/json.hpp>
+#include "cuminpitch/core/json.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -92,11 +92,12 @@
 
 std::variant<announce_request, std::string> parse_announce(const std::string& body)
 {
-    const json parsed = json::parse(body, nullptr, false);
-    if (!parsed.is_object()) {
-        return std::string("the body must be a JSON object");
+    const auto parsed = core::parse_json(body);
+    if (!parsed.reason.empty() || !parsed.value.is_object()) {
+        return "the body must be a JSON object" +
+               (parsed.reason.empty() ? "" : ": " + parsed.reason);
     }
-    object_reader reader(parsed);
+    object_reader reader(parsed.value);
     announce_request it;
     it.pool = {core::team_id(reader.text("team")), reader.text("pool")};
     it.announcement.server = core::server_id(reader.text("server"));
@@ -151,7 +152,7 @@
         {"entries", entry_list(entries)},
         {"renew_ms", absl::ToInt64Milliseconds(renew)},
         {"echo", absl::ToUnixMicros(now)}};
-    return http::json_response(200, body.dump());
+    return http::json_response(200, core::write_json(body));
 }
 
 http::response entries_response(
@@ -165,12 +166,12 @@
         {"revision", revision.value()},
         {"entries", entry_list(entries)},
         {"keep_ms", absl::ToInt64Milliseconds(entries_ttl)}};
-    return http::json_response(200, body.dump());
+    return http::json_response(200, core::write_json(body));
 }
 
 http::response error_response(int status, const std::string& reason)
 {
-    return http::json_response(status, json{{"error", reason}}.dump());
+    return http::json_response(status, core::write_json({{"error", reason}}));
 }
 
 } // namespace cuminpitch::entry
--- a/src/entry/status.cpp
+++ b/src/entry/status.cpp
@@ -1,6 +1,6 @@
 #include "entry/status_priv.hpp"
 
-#include <nlohmann/json.hpp>
+#include "cuminpitch/core/json.hpp"
 
 namespace cuminpitch::entry {
 namespace {
@@ -77,7 +77,7 @@
         {"control_age_ms", age_ms(link.control_age(now))},
         {"contact_age_ms", contacts},
         {"pools", pool_list}};
-    return http::json_response(200, body.dump());
+    return http::json_response(200, core::write_json(body));
 }
 
 void publish_metrics(
--- a/src/http/refusal.cpp
+++ b/src/http/refusal.cpp
@@ -1,7 +1,8 @@
 #include "cuminpitch/http/refusal.hpp"
 
+#include "cuminpitch/core/json.hpp"
+
 #include <absl/strings/str_format.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <cstdint>
@@ -28,8 +29,7 @@
         {"reason", it.reason},
         {"retry_after_ms", wait_ms},
         {"entries", it.entries}};
-    response out = json_response(
-        it.status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    response out = json_response(it.status, core::write_json(body));
     out.headers.set(std::string(verdict_header), core::to_string(it.verdict));
     out.headers.set(std::string(reason_header), it.reason);
     out.headers.set("Retry-After", std::to_string((wait_ms + 999) / 1000));
--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -41,6 +41,11 @@
         api.decode(core::request_id(1), request));
 }
 
+bool is_leave_accepted(const std::string& id, const std::string& body)
+{
+    return std::holds_alternative<control::server_record>(decode_leave(id, body));
+}
+
 bool is_decoded(const std::string& text)
 {
     return std::holds_alternative<converted_configuration>(
@@ -109,10 +114,10 @@
           std::string("a/b"),
           std::string(100'000, 'i')}) {
         EXPECT_FALSE(is_accepted(id, check_in)) << id.substr(0, 60);
-        EXPECT_FALSE(decode_leave(id, "").has_value()) << id.substr(0, 60);
+        EXPECT_FALSE(is_leave_accepted(id, "")) << id.substr(0, 60);
     }
-    EXPECT_FALSE(decode_leave("i-1", R"({"born":)" + deep + "}").has_value());
-    EXPECT_FALSE(decode_leave("i-1", R"({"born":1e30})").has_value());
+    EXPECT_FALSE(is_leave_accepted("i-1", R"({"born":)" + deep + "}"));
+    EXPECT_FALSE(is_leave_accepted("i-1", R"({"born":1e30})"));
 }
 
 // Guards against numbers that are converted to an integer that differs between machines,
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -49,6 +49,14 @@
               {{"name", "two"}, {"health-path", "/health"}, {"max-connections", 390}}})}};
 }
 
+/// The record that a message is decoded to. Empty if it is refused.
+std::optional<control::server_record>
+accepted(std::variant<control::server_record, decode_error> it)
+{
+    auto* record = std::get_if<control::server_record>(&it);
+    return record == nullptr ? std::nullopt : std::optional(std::move(*record));
+}
+
 /// Compiles a configuration to declarations. Empty if it can't be decoded or is invalid.
 std::optional<config::declarations> compiled(const json& from)
 {
@@ -137,7 +145,7 @@
 // Guards against a field that is dropped or decoded wrongly.
 TEST(platform_check_in, reads_every_field)
 {
-    const auto it = decode_check_in("i-1", sample_check_in().dump());
+    const auto it = accepted(decode_check_in("i-1", sample_check_in().dump()));
     ASSERT_TRUE(it.has_value());
     EXPECT_EQ(it->pool, pool_of_service("one"));
     EXPECT_EQ(it->announcement.server.str(), "i-1");
@@ -157,26 +165,30 @@
     for (const auto& [name, value] : whole.items()) {
         json it = sample_check_in();
         it[name] = json::array();
-        EXPECT_FALSE(decode_check_in("i-1", it.dump())) << name;
+        EXPECT_FALSE(accepted(decode_check_in("i-1", it.dump()))) << name;
         it.erase(name);
-        EXPECT_EQ(decode_check_in("i-1", it.dump()).has_value(), name == "born") << name;
+        EXPECT_EQ(accepted(decode_check_in("i-1", it.dump())).has_value(), name == "born")
+            << name;
     }
     json odd = sample_check_in();
     odd["state"] = "asleep";
-    EXPECT_FALSE(decode_check_in("i-1", odd.dump()));
+    EXPECT_FALSE(accepted(decode_check_in("i-1", odd.dump())));
     odd = sample_check_in();
     odd["born"] = 1.5;
-    EXPECT_FALSE(decode_check_in("i-1", odd.dump()));
-    EXPECT_FALSE(decode_check_in("i-1", "\xff\xfe"));
-    EXPECT_FALSE(decode_check_in("", sample_check_in().dump()));
+    EXPECT_FALSE(accepted(decode_check_in("i-1", odd.dump())));
+    EXPECT_FALSE(accepted(decode_check_in("i-1", "\xff\xfe")));
+    EXPECT_FALSE(accepted(decode_check_in("", sample_check_in().dump())));
 }
 
 // Guards against rejecting a leave message that has only the id.
 TEST(platform_check_in, leaving_needs_only_the_id)
 {
-    EXPECT_EQ(decode_leave("i-1", "")->announcement.state, upstream::availability::gone);
-    EXPECT_EQ(decode_leave("i-1", R"({"born":5})")->announcement.incarnation, 5U);
-    EXPECT_FALSE(decode_leave("i-1", "[]"));
+    EXPECT_EQ(
+        accepted(decode_leave("i-1", ""))->announcement.state,
+        upstream::availability::gone);
+    EXPECT_EQ(
+        accepted(decode_leave("i-1", R"({"born":5})"))->announcement.incarnation, 5U);
+    EXPECT_FALSE(accepted(decode_leave("i-1", "[]")));
 }
 
 class platform_calls_test : public testing::Test
