--- a/tests/request/live_test.cpp
+++ b/tests/request/live_test.cpp
@@ -1,12 +1,9 @@
 // Runs the dispatcher with the real HTTP server and client, against raw servers that
 // count executions.
-#include "fixture.hpp"
+#include "live_entry.hpp"
 
-#include "cuminpitch/http/server.hpp"
 #include "http/raw_socket.hpp"
 
-#include <absl/synchronization/mutex.h>
-#include <absl/time/clock.h>
 #include <nlohmann/json.hpp>
 
 namespace cuminpitch::request {
@@ -16,83 +13,6 @@
 
 const std::string ok_response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
-/// An entry: a dispatcher whose actions are carried out by the HTTP server and client.
-class live_entry
-{
-public:
-    explicit live_entry(const pool_update& pool)
-        : client_(http::client::create()),
-          dispatcher_({}, core::random_source(1), counters_)
-    {
-        dispatcher_.set_routes(std::make_shared<route_table>(two_teams()));
-        dispatcher_.update_pool(absl::Now(), pool);
-        http::server_options options;
-        options.listen = {"127.0.0.1", 0};
-        auto made = http::server::create(
-            options, [this](http::request in, const std::shared_ptr<http::exchange>& to) {
-                receive(std::move(in), to);
-            });
-        server_ = std::move(made).value();
-    }
-    ~live_entry()
-    {
-        server_.reset(); // Stops new events first, then results.
-        client_.reset();
-    }
-    live_entry(const live_entry&) = delete;
-
-    core::endpoint at() const { return server_->listening(); }
-
-private:
-    void receive(http::request in, const std::shared_ptr<http::exchange>& to)
-    {
-        const absl::MutexLock lock(&mutex_);
-        last_ = last_.next();
-        waiting_[last_] = to;
-        const request_id id = last_;
-        to->on_caller_gone([this, id] { handle(caller_gone{id}); });
-        const auto message = std::make_shared<const http::request>(std::move(in));
-        carry_out(dispatcher_.handle(absl::Now(), request_received{id, message}));
-    }
-    void handle(event it)
-    {
-        const absl::MutexLock lock(&mutex_);
-        carry_out(dispatcher_.handle(absl::Now(), std::move(it)));
-    }
-    void send(const outgoing_request& it)
-    {
-        handles_[it.attempt] = client_->start(
-            make_client_request(it), [this, id = it.attempt](http::client_result result) {
-                handle(attempt_finished{id, std::move(result)});
-            });
-    }
-    void carry_out(const std::vector<action>& actions)
-    {
-        for (const auto& each : actions) {
-            if (const auto* it = std::get_if<start_attempt>(&each)) {
-                send(it->send);
-            } else if (const auto* it = std::get_if<forward>(&each)) {
-                send(it->send);
-            } else if (const auto* it = std::get_if<cancel_attempt>(&each)) {
-                client_->cancel(handles_.at(it->attempt));
-            } else if (const auto* it = std::get_if<respond>(&each)) {
-                waiting_.extract(it->request).mapped()->respond(it->response);
-            } else if (const auto* it = std::get_if<refuse>(&each)) {
-                waiting_.extract(it->request).mapped()->respond(it->response);
-            }
-        }
-    }
-
-    absl::Mutex mutex_;
-    telemetry::metrics counters_;
-    std::unique_ptr<http::client> client_;
-    dispatcher dispatcher_;
-    request_id last_;
-    std::map<request_id, std::shared_ptr<http::exchange>> waiting_;
-    std::map<attempt_id, http::client::handle> handles_;
-    std::unique_ptr<http::server> server_;
-};
-
 pool_update served_by(const std::vector<core::endpoint>& servers)
 {
     pool_update out;
