Close a connection after a refusal that another request could take for its own

Callers saw: 503, not run, for an idempotent request that a server was running, when a server wrote an earlier refusal once more on a kept connection.

Cause: a refusal without the id of its request is accepted, as a server that refuses may not have read the id. On a kept connection a copy of it stands where the answer to the next request is due.

Change: the client doesn't reuse a connection after a refusal (the header of the dialect that says not run) that doesn't repeat the id of the request. With an id a copy contradicts the next request's, and a request is never sent twice to the same server by one entry, so the same id doesn't come twice on a connection.

--- a/include/cuminpitch/http/client.hpp
+++ b/include/cuminpitch/http/client.hpp
@@ -37,11 +37,17 @@
     std::string header; ///< The server returns this header with `value`.
     std::string value;
     std::string success_header; ///< Header that each 2xx response carries.
+    /// Header by which a server states that it didn't run the request. A copy of such a
+    /// response can't be told from the response to the next request unless it repeats
+    /// `header`, so a connection isn't reused after one that doesn't.
+    std::string refusal_header;
 
     /// True if a response with this status and these headers can't belong to the request.
     /// A response without the header is accepted unless its status is 2xx: a server that
     /// read only a part of the request may have refused it.
     bool is_contradicted(int status, const headers& fields) const;
+    /// True if a copy of this response could be taken for the response to another request.
+    bool is_ambiguous_refusal(const headers& fields) const;
 };
 
 struct client_request
--- a/src/http/attempt.cpp
+++ b/src/http/attempt.cpp
@@ -187,6 +187,9 @@
     is_final_ = true;
     malformed_ = malformed_ || request_.expected.is_contradicted(
                                    static_cast<int>(status), response_.headers);
+    if (request_.expected.is_ambiguous_refusal(response_.headers)) {
+        curl_easy_setopt(easy_.get(), CURLOPT_FORBID_REUSE, 1L);
+    }
     if (response_.headers.has("Transfer-Encoding")) {
         // libcurl passes the framing of chunks only to the debug function.
         curl_easy_setopt(easy_.get(), CURLOPT_VERBOSE, 1L);
--- a/src/http/expected_response.cpp
+++ b/src/http/expected_response.cpp
@@ -27,4 +27,10 @@
     return is_success && !is_repeated;
 }
 
+bool expected_response::is_ambiguous_refusal(const headers& fields) const
+{
+    const bool is_refusal = !refusal_header.empty() && fields.has(refusal_header);
+    return is_refusal && (header.empty() || !fields.has(header));
+}
+
 } // namespace cuminpitch::http
--- a/src/request/messages.cpp
+++ b/src/request/messages.cpp
@@ -76,6 +76,7 @@
         out.value = correlation;
     }
     out.success_header = names.success_header;
+    out.refusal_header = names.not_run;
     return out;
 }
 
