Remove a lingering connection from the epoll set before its descriptor is closed

Callers saw: a request without any answer, about one of 1,000 new connections to an entry that is closing others; its first bytes were read and dropped by the thread that lingers on closed connections.

Cause: epoll removes a connection with its last descriptor only. The lingering thread closed the second one while the server still had the first, so events for the old connection arrived under a number that a new one had been given meanwhile.

Change: the connection is removed from the set before its descriptor is closed.

--- a/src/http/lingering_closer.cpp
+++ b/src/http/lingering_closer.cpp
@@ -147,6 +147,9 @@
 {
     const absl::MutexLock lock(&mutex_);
     if (deadlines_.erase(socket) > 0) {
+        // The server may not have closed its own descriptor of the connection yet. The
+        // connection would then stay in the set under a number that is used again.
+        ::epoll_ctl(epoll_, EPOLL_CTL_DEL, socket, nullptr);
         ::close(socket);
     }
 }
