Refuse heads with a line that begins with a blank

Callers saw: a 200 with an empty body, framed as whole, when a server stopped in the middle of its head after a line that only holds blanks.

Cause: the client removed the blanks of each line before it looked for the empty line that ends a head. libcurl reports success if a connection closes in the head, so nothing else refused the response.

Change: a line that begins with a blank, which is an obsolete continuation of the line before it, makes the response malformed. Its outcome is unknown, so nothing that may have run is called not run.

Evidence: four tests of cut heads failed and pass; each other cut of nine kinds of responses was refused before and is now, at the client, at the caller of an entry and by way of another entry.

--- a/src/http/attempt.cpp
+++ b/src/http/attempt.cpp
@@ -158,7 +158,10 @@
 bool attempt::header_line(std::string line)
 {
     header_bytes_ += line.size();
-    malformed_ = malformed_ || header_bytes_ > header_limit_bytes;
+    // A line that begins with a blank continues the one before it, which is obsolete (RFC
+    // 9112, 5.2). Without its blanks it could look like the end of the head.
+    const bool is_continuation = line.starts_with(' ') || line.starts_with('\t');
+    malformed_ = malformed_ || header_bytes_ > header_limit_bytes || is_continuation;
     absl::StripAsciiWhitespace(&line);
     if (is_final_) {
         return !malformed_; // Ignores trailers; none were requested (RFC 9110, 6.5.1).
