--- a/include/cuminpitch/http/client.hpp
+++ b/include/cuminpitch/http/client.hpp
@@ -46,7 +46,8 @@
     /// A response without the header is accepted unless its status is 2xx: a server that
     /// read only a part of the request may have refused it.
     bool is_contradicted(int status, const headers& fields) const;
-    /// True if a copy of this response could be taken for the response to another request.
+    /// True if a copy of this response could be taken for the response to another
+    /// request.
     bool is_ambiguous_refusal(const headers& fields) const;
 };
 
--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -4,6 +4,7 @@
 #include "check_in.hpp"
 #include "declarations.hpp"
 
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_replace.h>
 #include <gtest/gtest.h>
 
@@ -141,7 +142,8 @@
           deep}) {
         for (const char* number : {":2500", ":390", ":1000", ":2}"}) {
             const std::string rest = number[2] == '}' ? "}" : "";
-            EXPECT_FALSE(is_decoded(replaced(configuration, number, ":" + odd + rest)))
+            EXPECT_FALSE(
+                is_decoded(replaced(configuration, number, absl::StrCat(":", odd, rest))))
                 << number << " " << odd.substr(0, 60);
         }
     }
--- a/tests/request/repeated_refusal_test.cpp
+++ b/tests/request/repeated_refusal_test.cpp
@@ -5,6 +5,8 @@
 
 #include "http/raw_socket.hpp"
 
+#include <absl/strings/str_cat.h>
+
 #include <map>
 #include <mutex>
 
@@ -181,12 +183,16 @@
     for (int n = 0; n < requests; ++n) {
         const std::string id = "id-" + std::to_string(n);
         const http::raw_caller caller(entry.at().port);
-        caller.send(
-            std::string(param.method) + " " + param.path +
-            " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nC: " + id + "\r\nId: " + id +
-            "\r\n" +
-            (std::string(param.method) == "POST" ? "Content-Length: 5\r\n\r\nscan7"
-                                                 : "\r\n"));
+        const bool has_body = std::string_view(param.method) == "POST";
+        caller.send(absl::StrCat(
+            param.method,
+            " ",
+            param.path,
+            " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nC: ",
+            id,
+            "\r\nId: ",
+            id,
+            has_body ? "\r\nContent-Length: 5\r\n\r\nscan7" : "\r\n\r\n"));
         const auto text = caller.read_all();
         std::this_thread::sleep_for(std::chrono::milliseconds(n % 3 == 0 ? 5 : 0));
         const bool says_not_run = text.starts_with("HTTP/1.1 503");
