--- a/tests/control/group_test.cpp
+++ b/tests/control/group_test.cpp
@@ -125,6 +125,36 @@
     EXPECT_EQ(newest_document_number(world), 4U);
 }
 
+// Guards against a new leader that answers a read before it knows what its predecessor
+// has committed: a majority hears it, but the other voter of it lags and refuses its
+// entries.
+TEST(group, new_leader_reads_nothing_before_it_has_committed)
+{
+    group_simulation world(3, 3);
+    world.run_for(absl::Seconds(3));
+    ASSERT_TRUE(world.ask_any(group_simulation::declare(2)));
+    world.run_for(absl::Seconds(1));
+    const auto old = world.leader();
+    ASSERT_TRUE(old.has_value());
+    const std::size_t next = (*old + 1) % 3;
+    world.cut_link(*old, (*old + 2) % 3);
+    const auto answer = world.ask(*old, group_simulation::declare(3));
+    ASSERT_TRUE(answer && std::holds_alternative<call_result::accepted>(*answer));
+    world.stop(*old);
+    world.heal();
+    const int elections = world.at(next).elections;
+    for (int n = 0; n < 1000 && world.at(next).elections == elections; ++n) {
+        world.run_for(absl::Milliseconds(5));
+    }
+    ASSERT_GT(world.at(next).elections, elections);
+    const auto read = world.ask(next, call::read_document{});
+    ASSERT_TRUE(read.has_value());
+    if (const auto* it = std::get_if<call_result::newest_document>(&*read)) {
+        EXPECT_EQ(it->document.number, 3U);
+    }
+    EXPECT_EQ(world.read_as_operator(absl::Seconds(1)), 3U);
+}
+
 // Guards against a follower that calls its state current because it hears a leader that
 // has lost the majority.
 TEST(group, state_of_a_follower_is_as_old_as_its_leaders_majority)
