Answer reads only once an entry of the term is committed

Callers saw: a read of the configuration that is older than what was acknowledged, after a change of leader.

Cause: synchronized() stayed true once a replica had caught up as a follower, so a new leader counted as complete before it had committed an entry of its own term. Until then it may not know that an entry it holds was committed. Its contact with a majority doesn't help, as refusals of its entries count as contact.

Change: for a leader synchronized() asks for a committed entry of its term, as its contract says. Reads, changes, confirmations and the age of the state follow it.

--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -124,7 +124,7 @@
 
 bool replica::synchronized() const
 {
-    return impl_->synchronized_;
+    return impl_->is_synchronized();
 }
 
 std::optional<absl::Time> replica::last_contact(const member_id& id) const
@@ -140,7 +140,7 @@
 {
     return std::max(
         impl_->current_at_,
-        impl_->synchronized_ ? impl_->majority_contact() : absl::InfinitePast());
+        impl_->is_synchronized() ? impl_->majority_contact() : absl::InfinitePast());
 }
 
 absl::Time replica::majority_contact() const
@@ -148,6 +148,13 @@
     return impl_->majority_contact();
 }
 
+bool replica::impl::is_synchronized() const
+{
+    // What earlier leaders have committed is only known once an entry of this term is.
+    return role_ == role::leader ? log_.term_at(commit_) == hard_state_.term
+                                 : synchronized_;
+}
+
 void replica::impl::start(absl::Time now)
 {
     now_ = now;
--- a/src/consensus/replica_election.cpp
+++ b/src/consensus/replica_election.cpp
@@ -159,8 +159,7 @@
 std::int64_t replica::impl::majority_age_us() const
 {
     constexpr absl::Duration unknown = absl::Hours(1);
-    const absl::Duration age =
-        log_.term_at(commit_) == hard_state_.term ? now_ - majority_contact() : unknown;
+    const absl::Duration age = is_synchronized() ? now_ - majority_contact() : unknown;
     return absl::ToInt64Microseconds(std::min(age, unknown));
 }
 
--- a/src/consensus/replica_priv.hpp
+++ b/src/consensus/replica_priv.hpp
@@ -59,6 +59,7 @@
     bool has_recent_leader_contact() const;
     bool has_recent_majority_contact() const;
     absl::Time majority_contact() const;
+    bool is_synchronized() const;
     /// The `majority_age_us` of the messages of this leader.
     std::int64_t majority_age_us() const;
     bool is_up_to_date(const vote_request& request) const;
