Review: show a CONFIG fault when control exceeds its memory after many changes

The process is killed at its memory limit, and again at the same entry after each start.

Done: a case with a configuration of 354 routes, 420 changes and 210 upstreams that are replaced, and a stand-in of the platform that kills a control instance beyond 256 MiB of anonymous memory. Nothing outside review/ is changed.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,5 +1,6 @@
-// ROUTE: a route is added while the fleet runs. Requests that its prefix doesn't begin
-// are run by its service.
+// CONFIG: after hundreds of changes of a configuration that has grown, the control
+// instances exceed their memory each time they start, and the configuration can't be read
+// back.
 
 #include "../support/fleet.hpp"
 
@@ -9,117 +10,257 @@
 
 namespace {
 
-const std::string host = "reprints.example";
+constexpr long memory_mb = 256;
+constexpr int base_routes = 4;
+constexpr int added_routes = 350; // As in big_config.
+constexpr int changes = 420;
+constexpr int orders_at_once = 4;
+constexpr int upstreams = 210;
+constexpr int starts_per_s = 4;
+constexpr int ready_ms = 4000;
+constexpr int drain_ms = 2500;
+constexpr int load_ms = 72'000;
+constexpr int read_back_ms = 16'000;
+const std::string host = "plots.example";
 
-/// The service that a configuration allows: the longest prefix that begins the path.
-std::string allowed_service(const std::vector<rule>& rules, const std::string& path)
+/// Anonymous memory of a process in KiB. Pages of files don't count.
+long anonymous_kib(pid_t pid)
 {
-    const rule* best = nullptr;
-    for (const auto& it : rules) {
-        if (path.rfind(it.prefix, 0) == 0 &&
-            (best == nullptr || it.prefix.size() > best->prefix.size())) {
-            best = &it;
+    std::ifstream in("/proc/" + std::to_string(pid) + "/status");
+    for (std::string line; std::getline(in, line);) {
+        if (line.rfind("RssAnon:", 0) == 0) {
+            return std::atol(line.c_str() + 8);
         }
     }
-    return best == nullptr ? "" : best->service;
+    return 0;
 }
 
-} // namespace
-
-int main(int, char** argv)
+/// Each version changes the timeouts, aims, priorities and weights of all routes.
+std::string version(int number, int routes)
 {
-    record log(std::string(argv[1]) + "/record.txt");
-    const bool trouble = has_trouble();
-    log.line("case 1, trouble %d", trouble);
-    fleet nodes(log, 3, 3);
-    const std::vector<std::string> services = {"site", "shop"};
-    std::mutex mutex;
-    std::vector<std::pair<std::string, std::string>> runs; // Service and request line.
-    std::vector<std::unique_ptr<upstream>> servers;
-    for (const auto& service : services) {
-        for (int n = 1; n <= 2; ++n) {
-            upstream::options it;
-            it.id = "i-" + service + "-" + std::to_string(n);
-            it.service = service;
-            it.ip = "127.77.3." + std::to_string(servers.size() + 1);
-            it.work_ms = 5;
-            servers.push_back(std::make_unique<upstream>(log, nodes, it));
-            servers.back()->on_run = [&, service](const message& request) {
-                log.line(
-                    "run by %s: %s id=%s",
-                    service.c_str(),
-                    request.start_line.c_str(),
-                    request.get("X-Attempt-Id").c_str());
-                const std::lock_guard lock(mutex);
-                runs.emplace_back(service, request.start_line);
-            };
-        }
+    std::vector<rule> rules;
+    for (int n = 0; n < routes; ++n) {
+        rule it;
+        const std::string name = "district-" + std::to_string(1000 + n);
+        it.name = "r-" + name + "-plot-search";
+        it.prefix = "/" + name + "/";
+        it.service = "lookup";
+        it.kind = n % 2 == 0 ? "safe" : "unsafe";
+        it.timeout_ms = 1500 + (number * 7 + n) % 500;
+        it.target_ms = 800 + (number * 3 + n) % 200;
+        it.priority = (number + n) % 3;
+        it.second = "archive";
+        it.weight_of_second = (number + n) % 100;
+        rules.push_back(it);
     }
-    std::vector<std::vector<rule>> sent;
-    sent.push_back({{"r-pages", "/", "site", "unsafe"}});
-    if (nodes.configure(configuration(1, {{host, sent[0]}}, services)) != 200 ||
-        !nodes.wait_ready(20000)) {
-        log.line("the fleet did not start");
-        return cannot_run;
+    return configuration(number, {{host, rules}}, {"lookup", "archive"});
+}
+
+class test
+{
+public:
+    explicit test(const std::string& folder)
+        : log_(folder + "/record.txt"), nodes_(log_, 3, 3)
+    {
     }
-    sleep_ms(4000);
-    if (trouble) {
-        sent.push_back(
-            {{"r-pages", "/", "site", "unsafe"}, {"r-shop", "/shop/", "shop", "unsafe"}});
-        if (nodes.configure(configuration(2, {{host, sent[1]}}, services)) != 200) {
-            return cannot_run;
+
+    int run();
+
+private:
+    void watch_memory();
+    void change_configuration();
+    void replace_upstreams();
+    message
+    order(const std::string& method, const std::string& target, const std::string& body);
+
+    record log_;
+    fleet nodes_;
+    std::atomic<bool> stopping_{false};
+    std::atomic<bool> is_loaded_{false};
+    std::atomic<int> next_version_{3};
+    std::atomic<int> newest_acknowledged_{0};
+    std::atomic<int> acknowledged_{0};
+    std::atomic<int> kills_{0};
+    std::mutex mutex_; ///< Guards the list of processes.
+};
+
+/// The platform: kills a process beyond its memory, and starts it again after half a
+/// second.
+void test::watch_memory()
+{
+    std::map<std::string, std::int64_t> start_at;
+    std::map<std::string, long> peaks;
+    while (!stopping_) {
+        for (auto* it : nodes_.all("control")) {
+            int status = 0;
+            if (it->pid < 0) {
+                if (now_ms() >= start_at[it->name]) {
+                    nodes_.start(*it, false);
+                }
+                continue;
+            }
+            if (nodes_.has_ended(*it, status)) {
+                log_.line("%s ended by itself, status %d", it->name.c_str(), status);
+                start_at[it->name] = now_ms() + 500;
+                continue;
+            }
+            const long kib = anonymous_kib(it->pid);
+            peaks[it->name] = std::max(peaks[it->name], kib);
+            if (kib > memory_mb * 1024) {
+                log_.line(
+                    "%s uses %ld KiB of %ld MB: killed",
+                    it->name.c_str(),
+                    kib,
+                    memory_mb);
+                nodes_.end(*it);
+                ++kills_;
+                start_at[it->name] = now_ms() + 500;
+            }
         }
+        sleep_ms(3);
     }
-    sleep_ms(3000); // Longer than config-deadline-ms.
-    int served = 0;
-    int number = 0;
-    for (int round = 0; round < 5; ++round) {
-        for (auto* entry : nodes.all("entry")) {
-            for (const std::string target : {"/shop", "/shop?item=7", "/about"}) {
-                const std::string id = "attempt-" + std::to_string(++number);
-                log.line(
-                    "sent to %s: POST %s id=%s",
-                    entry->name.c_str(),
-                    target.c_str(),
-                    id.c_str());
-                const auto answer = call(
-                    entry->ingress,
-                    "POST",
-                    target,
-                    {{"Host", host}, {"X-Attempt-Id", id}, {"X-Deadline-Ms", "2000"}},
-                    "order",
-                    2500);
-                log.line(
-                    "answered id=%s: %d %s",
-                    id.c_str(),
-                    answer.status,
-                    answer.get("X-Upstream-Signature").c_str());
-                served += answer.status == 200 ? 1 : 0;
+    for (const auto& [name, kib] : peaks) {
+        log_.line("%s used %ld KiB at most", name.c_str(), kib);
+    }
+}
+
+/// Sends versions one after the other, each again until it is confirmed.
+void test::change_configuration()
+{
+    const int routes = base_routes + (has_trouble() ? added_routes : 0);
+    for (int n = next_version_++; n < 3 + changes && !is_loaded_; n = next_version_++) {
+        const auto body = version(n, routes);
+        for (std::size_t tries = 0; !is_loaded_; ++tries) {
+            const auto answer = nodes_.call_control("PUT", "/-/config", body, tries);
+            log_.line("operator sent r%d, answered %d", n, answer.status);
+            if (answer.status == 200) {
+                ++acknowledged_;
+                int newest = newest_acknowledged_;
+                while (newest < n &&
+                       !newest_acknowledged_.compare_exchange_weak(newest, n)) {
+                }
+                break;
             }
+            sleep_ms(200);
         }
     }
-    int foreign = 0;
+}
+
+/// Upstreams that are replaced: each says that it is ready, later that it is draining,
+/// and then leaves.
+void test::replace_upstreams()
+{
+    struct call_at
     {
-        const std::lock_guard lock(mutex);
-        for (const auto& [service, line] : runs) {
-            const auto begin = line.find(' ') + 1;
-            const std::string path =
-                line.substr(begin, line.find_first_of("? ", begin) - begin);
-            std::set<std::string> allowed;
-            for (const auto& rules : sent) {
-                allowed.insert(allowed_service(rules, path));
+        std::int64_t at;
+        int upstream;
+        int step;
+    };
+    std::vector<call_at> calls;
+    for (int n = 0; n < upstreams; ++n) {
+        const std::int64_t begin = n / starts_per_s * 1000;
+        calls.push_back({begin, n, 0});
+        calls.push_back({begin + ready_ms, n, 1});
+        calls.push_back({begin + ready_ms + drain_ms, n, 2});
+    }
+    std::stable_sort(calls.begin(), calls.end(), [](const auto& a, const auto& b) {
+        return a.at < b.at;
+    });
+    const auto begin = now_ms();
+    std::map<int, std::int64_t> born;
+    for (const auto& it : calls) {
+        while (now_ms() < begin + it.at && !is_loaded_) {
+            sleep_ms(5);
+        }
+        if (it.step == 0) {
+            born[it.upstream] = upstream::unix_ms();
+        }
+        const std::string id = "i-lookup-" + std::to_string(it.upstream + 1);
+        const std::string common = "\"born\":" + std::to_string(born[it.upstream]) +
+                                   ",\"seq\":" + std::to_string(it.step + 1) + "}";
+        const std::string state = it.step == 0 ? "ready" : "draining";
+        const std::string body =
+            it.step == 2 ? "{" + common
+                         : "{\"service\":\"lookup\",\"address\":\"127.77.4." +
+                               std::to_string(it.upstream % 200 + 1) + ":" +
+                               std::to_string(9000 + it.upstream) +
+                               "\",\"zone\":\"zone-1\",\"version\":\"v1\",\"slots\":4,"
+                               "\"state\":\"" +
+                               state + "\",\"warmup-ms\":0," + common;
+        for (std::size_t tries = 0; tries < 5 && !is_loaded_; ++tries) {
+            const auto answer = nodes_.call_control(
+                it.step == 2 ? "DELETE" : "PUT", "/-/upstreams/" + id, body, tries);
+            if (answer.status == 200) {
+                break;
             }
-            foreign += allowed.contains(service) ? 0 : 1;
         }
     }
-    log.line(
-        "%d requests, %d served, %d run by a service that no configuration allows",
-        number,
-        served,
-        foreign);
-    servers.clear();
-    if (foreign > 0) {
+}
+
+int test::run()
+{
+    log_.line("case 1, trouble %d", has_trouble());
+    const int routes = base_routes + (has_trouble() ? added_routes : 0);
+    if (nodes_.configure(version(1, base_routes)) != 200 || !nodes_.wait_ready(20000) ||
+        nodes_.configure(version(2, routes)) != 200) {
+        log_.line("the fleet did not start");
+        return cannot_run;
+    }
+    newest_acknowledged_ = 2;
+    const auto begin = now_ms();
+    std::vector<std::thread> threads;
+    std::thread watcher([this] { watch_memory(); });
+    for (int n = 0; n < orders_at_once; ++n) {
+        threads.emplace_back([this] { change_configuration(); });
+    }
+    std::thread replacing([this] { replace_upstreams(); });
+    // The day ends once all was sent, or after the second end of each control instance.
+    while (now_ms() < begin + load_ms && kills_ < 6 &&
+           next_version_ < 3 + changes + orders_at_once) {
+        sleep_ms(50);
+    }
+    while (now_ms() < begin + load_ms && kills_ < 6 &&
+           now_ms() <
+               begin + upstreams / starts_per_s * 1000 + ready_ms + drain_ms + 2000) {
+        sleep_ms(50);
+    }
+    is_loaded_ = true;
+    for (auto& it : threads) {
+        it.join();
+    }
+    replacing.join();
+    const int newest = newest_acknowledged_;
+    log_.line(
+        "%d changes acknowledged, the newest is r%d, %d processes killed",
+        int(acknowledged_),
+        newest,
+        int(kills_));
+    int held_version = -1;
+    const auto end = now_ms() + read_back_ms;
+    for (std::size_t n = 0; now_ms() < end && held_version < 0; ++n) {
+        const auto answer = nodes_.call_control("GET", "/-/config", "", n);
+        log_.line("read back: %d %s", answer.status, answer.body.substr(0, 40).c_str());
+        if (answer.status == 200) {
+            held_version = std::atoi(answer.body.c_str() + answer.body.find("\"r") + 2);
+        }
+        sleep_ms(500);
+    }
+    stopping_ = true;
+    watcher.join();
+    log_.line(
+        "read back r%d, acknowledged r%d, %d processes killed",
+        held_version,
+        newest,
+        int(kills_));
+    if (held_version < newest) {
         return broken;
     }
-    return served >= number * 9 / 10 ? held : cannot_run;
+    return acknowledged_ >= changes * 9 / 10 ? held : cannot_run;
+}
+
+} // namespace
+
+int main(int, char** argv)
+{
+    return test(argv[1]).run();
 }
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,5 +1,5 @@
-// ROUTE: a configuration adds a second host whose rule has the name of a rule of the
-// first. The first host loses its route, and its requests are run by another service.
+// ROUTE: a route is added while the fleet runs. Requests that its prefix doesn't begin
+// are run by its service.
 
 #include "../support/fleet.hpp"
 
@@ -9,32 +9,21 @@
 
 namespace {
 
-/// The service that a configuration allows: the longest prefix of the host that begins
-/// the path.
-std::string allowed_service(
-    const std::vector<listener>& listeners,
-    const std::string& host,
-    const std::string& path)
+const std::string host = "reprints.example";
+
+/// The service that a configuration allows: the longest prefix that begins the path.
+std::string allowed_service(const std::vector<rule>& rules, const std::string& path)
 {
     const rule* best = nullptr;
-    for (const auto& each : listeners) {
-        for (const auto& it : each.rules) {
-            if (each.host == host && path.rfind(it.prefix, 0) == 0 &&
-                (best == nullptr || it.prefix.size() > best->prefix.size())) {
-                best = &it;
-            }
+    for (const auto& it : rules) {
+        if (path.rfind(it.prefix, 0) == 0 &&
+            (best == nullptr || it.prefix.size() > best->prefix.size())) {
+            best = &it;
         }
     }
     return best == nullptr ? "" : best->service;
 }
 
-struct run
-{
-    std::string service;
-    std::string host;
-    std::string path;
-};
-
 } // namespace
 
 int main(int, char** argv)
@@ -43,9 +32,9 @@
     const bool trouble = has_trouble();
     log.line("case 4, trouble %d", trouble);
     fleet nodes(log, 3, 3);
-    const std::vector<std::string> services = {"lookup", "archive"};
+    const std::vector<std::string> services = {"site", "shop"};
     std::mutex mutex;
-    std::vector<run> runs;
+    std::vector<std::pair<std::string, std::string>> runs; // Service and request line.
     std::vector<std::unique_ptr<upstream>> servers;
     for (const auto& service : services) {
         for (int n = 1; n <= 2; ++n) {
@@ -56,63 +45,50 @@
             it.work_ms = 5;
             servers.push_back(std::make_unique<upstream>(log, nodes, it));
             servers.back()->on_run = [&, service](const message& request) {
-                const auto& line = request.start_line;
-                const auto begin = line.find(' ') + 1;
-                const run it = {
-                    service,
-                    request.get("Host"),
-                    line.substr(begin, line.find(' ', begin) - begin)};
                 log.line(
-                    "run by %s: %s%s id=%s",
+                    "run by %s: %s id=%s",
                     service.c_str(),
-                    it.host.c_str(),
-                    it.path.c_str(),
+                    request.start_line.c_str(),
                     request.get("X-Attempt-Id").c_str());
                 const std::lock_guard lock(mutex);
-                runs.push_back(it);
+                runs.emplace_back(service, request.start_line);
             };
         }
     }
-    const std::string first = "shop-one.example";
-    const std::string second = "shop-two.example";
-    std::vector<std::vector<listener>> sent;
-    sent.push_back(
-        {{first,
-          {{"r-fix", "/record-fix/", "archive", "unsafe"},
-           {"r-all", "/", "lookup", "safe"}}}});
-    if (nodes.configure(configuration(1, sent[0], services)) != 200 ||
+    std::vector<std::vector<rule>> sent;
+    sent.push_back({{"r-pages", "/", "site", "unsafe"}});
+    if (nodes.configure(configuration(1, {{host, sent[0]}}, services)) != 200 ||
         !nodes.wait_ready(20000)) {
         log.line("the fleet did not start");
         return cannot_run;
     }
     sleep_ms(4000);
-    // The second configuration keeps the first host as it is.
-    sent.push_back(sent[0]);
-    sent.back().push_back(
-        {second,
-         {{trouble ? "r-fix" : "r-fix-two", "/record-fix/", "archive", "unsafe"}}});
-    if (nodes.configure(configuration(2, sent[1], services)) != 200) {
-        return cannot_run;
+    if (trouble) {
+        sent.push_back(
+            {{"r-pages", "/", "site", "unsafe"}, {"r-shop", "/shop/", "shop", "unsafe"}});
+        if (nodes.configure(configuration(2, {{host, sent[1]}}, services)) != 200) {
+            return cannot_run;
+        }
     }
     sleep_ms(3000); // Longer than config-deadline-ms.
     int served = 0;
     int number = 0;
     for (int round = 0; round < 5; ++round) {
         for (auto* entry : nodes.all("entry")) {
-            for (const auto& host : {first, second}) {
+            for (const std::string target : {"/shop", "/shop?item=7", "/about"}) {
                 const std::string id = "attempt-" + std::to_string(++number);
                 log.line(
-                    "sent to %s: DELETE %s/record-fix/7 id=%s",
+                    "sent to %s: POST %s id=%s",
                     entry->name.c_str(),
-                    host.c_str(),
+                    target.c_str(),
                     id.c_str());
                 const auto answer = call(
                     entry->ingress,
-                    "DELETE",
-                    "/record-fix/7",
-                    {{"Host", host}, {"X-Attempt-Id", id}, {"X-Deadline-Ms", "1500"}},
-                    "",
-                    2000);
+                    "POST",
+                    target,
+                    {{"Host", host}, {"X-Attempt-Id", id}, {"X-Deadline-Ms", "2000"}},
+                    "order",
+                    2500);
                 log.line(
                     "answered id=%s: %d %s",
                     id.c_str(),
@@ -125,12 +101,15 @@
     int foreign = 0;
     {
         const std::lock_guard lock(mutex);
-        for (const auto& it : runs) {
+        for (const auto& [service, line] : runs) {
+            const auto begin = line.find(' ') + 1;
+            const std::string path =
+                line.substr(begin, line.find_first_of("? ", begin) - begin);
             std::set<std::string> allowed;
-            for (const auto& listeners : sent) {
-                allowed.insert(allowed_service(listeners, it.host, it.path));
+            for (const auto& rules : sent) {
+                allowed.insert(allowed_service(rules, path));
             }
-            foreign += allowed.contains(it.service) ? 0 : 1;
+            foreign += allowed.contains(service) ? 0 : 1;
         }
     }
     log.line(
--- a/review/support/fleet.hpp
+++ b/review/support/fleet.hpp
@@ -532,6 +532,10 @@
     std::string service;
     std::string kind = "safe";
     int timeout_ms = 2000;
+    int target_ms = 1000;
+    int priority = 1;
+    int weight_of_second = -1; ///< If set, `second` gets this share in 100.
+    std::string second = {};
 };
 
 struct listener
@@ -556,10 +560,17 @@
         comma = "";
         for (const auto& r : it.rules) {
             out << comma << "{\"name\":\"" << r.name << "\",\"kind\":\"" << r.kind
-                << "\",\"target-latency-ms\":1000,\"priority\":1,"
-                   "\"match\":{\"path-prefix\":\""
-                << r.prefix << "\"},\"action\":{\"service\":\"" << r.service
-                << "\",\"timeout-ms\":" << r.timeout_ms << ",\"max-attempts\":2}}";
+                << "\",\"target-latency-ms\":" << r.target_ms
+                << ",\"priority\":" << r.priority << ",\"match\":{\"path-prefix\":\""
+                << r.prefix << "\"},\"action\":{";
+            if (r.weight_of_second < 0) {
+                out << "\"service\":\"" << r.service << "\"";
+            } else {
+                out << "\"traffic-split\":[{\"service\":\"" << r.service
+                    << "\",\"weight\":" << 100 - r.weight_of_second << "},{\"service\":\""
+                    << r.second << "\",\"weight\":" << r.weight_of_second << "}]";
+            }
+            out << ",\"timeout-ms\":" << r.timeout_ms << ",\"max-attempts\":2}}";
             comma = ",";
         }
         out << "]}";
