Review: give each run addresses of its own, and end all processes of a case

Cause: two cases at a time met at the same addresses, and a driver that was killed left its processes behind.

Done: the loopback network follows the process id; run.sh ends the process group.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -181,7 +181,7 @@
         const std::string state = it.step == 0 ? "ready" : "draining";
         const std::string body =
             it.step == 2 ? "{" + common
-                         : "{\"service\":\"lookup\",\"address\":\"127.77.4." +
+                         : "{\"service\":\"lookup\",\"address\":\"" + network() + "4." +
                                std::to_string(it.upstream % 200 + 1) + ":" +
                                std::to_string(9000 + it.upstream) +
                                "\",\"zone\":\"zone-1\",\"version\":\"v1\",\"slots\":4,"
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -55,7 +55,7 @@
         upstream::options it;
         it.id = "i-lookup-" + std::to_string(n + 1);
         it.service = "lookup";
-        it.ip = "127.77.3." + std::to_string(n + 1);
+        it.ip = network() + "3." + std::to_string(n + 1);
         it.zone = "zone-" + std::to_string(n % 3 + 1);
         it.slots = 2;
         it.queue = 4;
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,6 +2,10 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/bin/cuminpitch-platform ] && [ -x review/bin/case-3 ] || exit 2
-timeout -s KILL 110 review/bin/case-3 review/3
+# timeout leads a process group of its own, which holds all that the case starts.
+timeout -s KILL 110 review/bin/case-3 review/3 &
+group=$!
+wait "$group"
 status=$?
+kill -KILL -- "-$group" 2>/dev/null
 case $status in 0 | 1) exit $status ;; *) exit 2 ;; esac
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -41,7 +41,7 @@
             upstream::options it;
             it.id = "i-" + service + "-" + std::to_string(n);
             it.service = service;
-            it.ip = "127.77.3." + std::to_string(servers.size() + 1);
+            it.ip = network() + "3." + std::to_string(servers.size() + 1);
             it.work_ms = 5;
             servers.push_back(std::make_unique<upstream>(log, nodes, it));
             servers.back()->on_run = [&, service](const message& request) {
--- a/review/support/fleet.hpp
+++ b/review/support/fleet.hpp
@@ -51,7 +51,13 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(ms));
 }
 
-/// The fleet: control instances at 127.77.1.N, entries at 127.77.2.N, three zones.
+/// Loopback network of this process, "127.N.", so that several tests can run at a time.
+inline std::string network()
+{
+    return "127." + std::to_string(80 + ::getpid() % 170) + ".";
+}
+
+/// The fleet: control instances at network()1.N, entries at network()2.N, three zones.
 class fleet
 {
 public:
@@ -72,10 +78,10 @@
         folder_ = ::mkdtemp(text);
         first_port_ = free_ports(6, control, entries);
         for (unsigned n = 1; n <= control; ++n) {
-            add("control", "127.77.1.", n);
+            add("control", network() + "1.", n);
         }
         for (unsigned n = 1; n <= entries; ++n) {
-            add("entry", "127.77.2.", n);
+            add("entry", network() + "2.", n);
         }
         for (auto& it : nodes) {
             start(it, true);
@@ -264,10 +270,10 @@
     {
         std::vector<std::string> ips;
         for (unsigned n = 1; n <= control; ++n) {
-            ips.push_back("127.77.1." + std::to_string(n));
+            ips.push_back(network() + "1." + std::to_string(n));
         }
         for (unsigned n = 1; n <= entries; ++n) {
-            ips.push_back("127.77.2." + std::to_string(n));
+            ips.push_back(network() + "2." + std::to_string(n));
         }
         for (int first = 20000 + ::getpid() % 10000;; first += count) {
             bool is_free = true;
