--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -13,12 +13,15 @@
 constexpr long memory_mb = 256;
 constexpr int base_routes = 4;
 constexpr int added_routes = 350; // As in big_config.
-constexpr int changes = 420;
+constexpr int changes = 340;
 constexpr int orders_at_once = 4;
-constexpr int upstreams = 210;
-constexpr int starts_per_s = 4;
+/// Upstreams replaced for ten changes, and the most that start in a second: x = 4, gap_s
+/// = 1.0 of release for each of two services.
+constexpr int upstreams_for_ten = 7;
+constexpr int starts_per_s = 8;
 constexpr int ready_ms = 4000;
 constexpr int drain_ms = 2500;
+constexpr int settle_ms = 8000;
 constexpr int load_ms = 72'000;
 constexpr int read_back_ms = 16'000;
 const std::string host = "plots.example";
@@ -70,8 +73,6 @@
     void watch_memory();
     void change_configuration();
     void replace_upstreams();
-    message
-    order(const std::string& method, const std::string& target, const std::string& body);
 
     record log_;
     fleet nodes_;
@@ -81,7 +82,17 @@
     std::atomic<int> newest_acknowledged_{0};
     std::atomic<int> acknowledged_{0};
     std::atomic<int> kills_{0};
-    std::mutex mutex_; ///< Guards the list of processes.
+    struct due_call
+    {
+        std::int64_t at;
+        int upstream;
+        int step;
+        std::int64_t born;
+    };
+    std::mutex mutex_; ///< Guards the two below.
+    std::vector<due_call> due_;
+    int started_ = 0;
+    std::atomic<int> check_ins_{0};
 };
 
 /// The platform: kills a process beyond its memory, and starts it again after half a
@@ -146,54 +157,62 @@
     }
 }
 
-/// Upstreams that are replaced: each says that it is ready, later that it is draining,
-/// and then leaves.
+/// Upstreams that are replaced while the changes go on: each says that it is ready, later
+/// that it is draining, and then leaves.
 void test::replace_upstreams()
 {
-    struct call_at
-    {
-        std::int64_t at;
-        int upstream;
-        int step;
-    };
-    std::vector<call_at> calls;
-    for (int n = 0; n < upstreams; ++n) {
-        const std::int64_t begin = n / starts_per_s * 1000;
-        calls.push_back({begin, n, 0});
-        calls.push_back({begin + ready_ms, n, 1});
-        calls.push_back({begin + ready_ms + drain_ms, n, 2});
-    }
-    std::stable_sort(calls.begin(), calls.end(), [](const auto& a, const auto& b) {
-        return a.at < b.at;
-    });
     const auto begin = now_ms();
-    std::map<int, std::int64_t> born;
-    for (const auto& it : calls) {
-        while (now_ms() < begin + it.at && !is_loaded_) {
-            sleep_ms(5);
+    while (!is_loaded_) {
+        int number = 0;
+        int step = 0;
+        std::int64_t born = 0;
+        {
+            const std::lock_guard lock(mutex_);
+            const auto now = now_ms();
+            const auto due = std::find_if(
+                due_.begin(), due_.end(), [&](const auto& it) { return it.at <= now; });
+            if (due != due_.end()) {
+                number = due->upstream;
+                step = due->step;
+                born = due->born;
+                due_.erase(due);
+            } else if (
+                started_ * 10 < acknowledged_ * upstreams_for_ten &&
+                started_ < (now - begin) * starts_per_s / 1000) {
+                number = ++started_;
+                born = upstream::unix_ms();
+            }
         }
-        if (it.step == 0) {
-            born[it.upstream] = upstream::unix_ms();
+        if (number == 0) {
+            sleep_ms(5);
+            continue;
         }
-        const std::string id = "i-lookup-" + std::to_string(it.upstream + 1);
-        const std::string common = "\"born\":" + std::to_string(born[it.upstream]) +
-                                   ",\"seq\":" + std::to_string(it.step + 1) + "}";
-        const std::string state = it.step == 0 ? "ready" : "draining";
+        const std::string id = "i-" + std::to_string(number);
+        const std::string common = "\"born\":" + std::to_string(born) +
+                                   ",\"seq\":" + std::to_string(step + 1) + "}";
+        const std::string service = number % 2 == 0 ? "lookup" : "archive";
+        const std::string state = step == 0 ? "ready" : "draining";
         const std::string body =
-            it.step == 2 ? "{" + common
-                         : "{\"service\":\"lookup\",\"address\":\"" + network() + "4." +
-                               std::to_string(it.upstream % 200 + 1) + ":" +
-                               std::to_string(9000 + it.upstream) +
-                               "\",\"zone\":\"zone-1\",\"version\":\"v1\",\"slots\":4,"
-                               "\"state\":\"" +
-                               state + "\",\"warmup-ms\":0," + common;
+            step == 2 ? "{" + common
+                      : "{\"service\":\"" + service + "\",\"address\":\"" + network() +
+                            "4." + std::to_string(number % 200 + 1) + ":" +
+                            std::to_string(9000 + number) +
+                            "\",\"zone\":\"zone-1\",\"version\":\"v1\",\"slots\":4,"
+                            "\"state\":\"" +
+                            state + "\",\"warmup-ms\":0," + common;
         for (std::size_t tries = 0; tries < 5 && !is_loaded_; ++tries) {
             const auto answer = nodes_.call_control(
-                it.step == 2 ? "DELETE" : "PUT", "/-/upstreams/" + id, body, tries);
+                step == 2 ? "DELETE" : "PUT", "/-/upstreams/" + id, body, tries);
             if (answer.status == 200) {
+                ++check_ins_;
                 break;
             }
         }
+        if (step < 2) {
+            const std::lock_guard lock(mutex_);
+            due_.push_back(
+                {now_ms() + (step == 0 ? ready_ms : drain_ms), number, step + 1, born});
+        }
     }
 }
 
@@ -213,26 +232,30 @@
     for (int n = 0; n < orders_at_once; ++n) {
         threads.emplace_back([this] { change_configuration(); });
     }
-    std::thread replacing([this] { replace_upstreams(); });
-    // The day ends once all was sent, or after the second end of each control instance.
-    while (now_ms() < begin + load_ms && kills_ < 6 &&
-           next_version_ < 3 + changes + orders_at_once) {
-        sleep_ms(50);
+    for (int n = 0; n < 3; ++n) {
+        threads.emplace_back([this] { replace_upstreams(); });
     }
+    // The day ends a while after all was sent, or after the second end of each control
+    // instance.
+    std::int64_t all_sent = 0;
     while (now_ms() < begin + load_ms && kills_ < 6 &&
-           now_ms() <
-               begin + upstreams / starts_per_s * 1000 + ready_ms + drain_ms + 2000) {
+           (all_sent == 0 || now_ms() < all_sent + settle_ms)) {
+        if (all_sent == 0 && acknowledged_ >= changes &&
+            check_ins_ >= 3 * (changes * upstreams_for_ten / 10)) {
+            all_sent = now_ms();
+        }
         sleep_ms(50);
     }
     is_loaded_ = true;
     for (auto& it : threads) {
         it.join();
     }
-    replacing.join();
     const int newest = newest_acknowledged_;
     log_.line(
-        "%d changes acknowledged, the newest is r%d, %d processes killed",
+        "%d changes and %d check-ins acknowledged, the newest is r%d, %d processes "
+        "killed",
         int(acknowledged_),
+        int(check_ins_),
         newest,
         int(kills_));
     int held_version = -1;
