Log the connection of each response and why a response was rejected

A caller got a success where the server had answered with a failure. The logs couldn't tell the hypotheses apart: malformed-response stood for every failed check, and nothing said whether a connection had carried other requests or whether bytes were waiting on it.

The client now reports for each response how many requests its connection had carried, how long it had rested, whether bytes had arrived on it before the request was sent, and whether more came with the end of the response; for a rejected one the check that failed and the begin of the line, escaped. Entries log these in 'answered', 'attempt failed', 'hop failed' and 'unexpected bytes', and count them. The bytes beyond a response can't be counted, as libcurl reads and drops them; that they came shows in the connection that it closes.

No response is treated in another way. http_test, request_test and session_test pass.

--- a/include/cuminpitch/http/client.hpp
+++ b/include/cuminpitch/http/client.hpp
@@ -3,6 +3,7 @@
 #include "cuminpitch/core/endpoint.hpp"
 #include "cuminpitch/core/verdict.hpp"
 #include "cuminpitch/http/message.hpp"
+#include "cuminpitch/http/mismatch.hpp"
 
 #include <absl/time/time.h>
 
@@ -45,7 +46,12 @@
     /// True if a response with this status and these headers can't belong to the request.
     /// A response without the header is accepted unless its status is 2xx: a server that
     /// read only a part of the request may have refused it.
-    bool is_contradicted(int status, const headers& fields) const;
+    bool is_contradicted(int status, const headers& fields) const
+    {
+        return check(status, fields) != mismatch::none;
+    }
+    /// Why the response can't belong to the request.
+    mismatch check(int status, const headers& fields) const;
     /// True if a copy of this response could be taken for the response to another
     /// request.
     bool is_ambiguous_refusal(const headers& fields) const;
@@ -76,6 +82,19 @@
     const std::string& content() const { return shared_body ? *shared_body : body; }
 };
 
+/// The connection on which a request was sent.
+struct connection_use
+{
+    std::uint32_t earlier_requests = 0; ///< Requests sent on it before this one.
+    /// Time between the response before and this request, 0 on a new connection.
+    absl::Duration rested;
+    /// Bytes that had arrived on it before this request was sent, so they don't answer
+    /// it. Up to a limit of a few hundred bytes, what follows isn't counted.
+    std::uint32_t waiting_bytes = 0;
+    /// More bytes arrived together with the end of the response.
+    bool has_surplus = false;
+};
+
 struct client_result
 {
     /// not_run if nothing was sent (libcurl never called the pre-request callback), ran
@@ -87,6 +106,10 @@
     bool reused_connection = false;
     /// The connection attempt timed out, rather than being refused.
     bool connect_timed_out = false;
+    /// Why the response was rejected if failure is malformed_response.
+    http::mismatch mismatch = http::mismatch::none;
+    std::string excerpt; ///< Begin of the line that didn't fit, escaped.
+    connection_use connection;
 };
 
 struct client_options
--- a/src/http/attempt.cpp
+++ b/src/http/attempt.cpp
@@ -1,8 +1,13 @@
 #include "attempt_priv.hpp"
 
 #include <absl/strings/ascii.h>
+#include <absl/strings/escaping.h>
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cstdlib>
 #include <cstring>
@@ -18,6 +23,9 @@
 /// more if its size is written with several digits.
 constexpr std::uint64_t max_wire_bytes_per_body_byte = 16;
 constexpr long first_final_status = 200;
+/// Limit on the bytes that are looked at before a request is sent.
+constexpr std::size_t max_waiting_bytes = 512;
+constexpr std::size_t max_excerpt_bytes = 80;
 
 bool method_implies_body(const std::string& method)
 {
@@ -38,10 +46,11 @@
     client_request request,
     client::callback done,
     bool allow_resend,
-    received_bytes& received)
+    received_bytes& received,
+    connection_table& connections)
     : request_(std::move(request)), done_(std::move(done)), allow_resend_(allow_resend),
-      received_(received), easy_(curl_easy_init(), &curl_easy_cleanup),
-      fields_(nullptr, &curl_slist_free_all)
+      received_(received), connections_(connections),
+      easy_(curl_easy_init(), &curl_easy_cleanup), fields_(nullptr, &curl_slist_free_all)
 {
     if (easy_) {
         set_options();
@@ -79,6 +88,11 @@
     curl_easy_setopt(it, CURLOPT_FRESH_CONNECT, request_.fresh_connection ? 1L : 0L);
     curl_easy_setopt(it, CURLOPT_PREREQFUNCTION, &may_send);
     curl_easy_setopt(it, CURLOPT_PREREQDATA, this);
+    curl_easy_setopt(it, CURLOPT_OPENSOCKETFUNCTION, &open_socket);
+    curl_easy_setopt(it, CURLOPT_OPENSOCKETDATA, this);
+    // A connection outlives the attempt that opened it.
+    curl_easy_setopt(it, CURLOPT_CLOSESOCKETFUNCTION, &close_socket);
+    curl_easy_setopt(it, CURLOPT_CLOSESOCKETDATA, &connections_);
     curl_easy_setopt(it, CURLOPT_HEADERFUNCTION, &take_header);
     curl_easy_setopt(it, CURLOPT_HEADERDATA, this);
     curl_easy_setopt(it, CURLOPT_WRITEFUNCTION, &take_body);
@@ -137,16 +151,53 @@
 
 // libcurl calls this each time before it sends the request, also when it retries on
 // another connection because a reused one was closed without a response.
-int attempt::may_send(void* self, char* /*to*/, char* /*from*/, int /*p*/, int /*q*/)
+int attempt::may_send(
+    void* self, char* /*to*/, char* /*from*/, int /*to_port*/, int local_port)
 {
     auto& it = *static_cast<attempt*>(self);
     if (it.sends_ > 0 && !it.allow_resend_) {
         return CURL_PREREQFUNC_ABORT;
     }
     ++it.sends_;
+    it.note_connection(local_port);
     return CURL_PREREQFUNC_OK;
 }
 
+curl_socket_t
+attempt::open_socket(void* self, curlsocktype /*purpose*/, curl_sockaddr* to)
+{
+    auto& it = *static_cast<attempt*>(self);
+    it.opened_socket_ = ::socket(to->family, to->socktype, to->protocol);
+    return it.opened_socket_;
+}
+
+int attempt::close_socket(void* connections, curl_socket_t it)
+{
+    static_cast<connection_table*>(connections)->remove(it);
+    return ::close(it);
+}
+
+void attempt::note_connection(int local_port)
+{
+    long connects = 0;
+    curl_easy_getinfo(easy_.get(), CURLINFO_NUM_CONNECTS, &connects);
+    auto* it = connects > 0 ? &connections_.add(request_.to, local_port, opened_socket_)
+                            : connections_.find(request_.to, local_port);
+    if (it == nullptr) {
+        return;
+    }
+    local_port_ = local_port;
+    use_ = {};
+    use_.earlier_requests = it->requests++;
+    if (use_.earlier_requests == 0) {
+        return;
+    }
+    use_.rested = absl::Now() - it->last_response;
+    char buf[max_waiting_bytes];
+    const auto n = ::recv(it->socket, buf, sizeof buf, MSG_PEEK | MSG_DONTWAIT);
+    use_.waiting_bytes = n > 0 ? static_cast<std::uint32_t>(n) : 0;
+}
+
 std::size_t
 attempt::take_header(char* data, std::size_t /*one*/, std::size_t n, void* self)
 {
@@ -160,10 +211,16 @@
     // A line that begins with a blank continues the one before it, which is obsolete (RFC
     // 9112, 5.2). Without its blanks it could look like the end of the head.
     const bool is_continuation = line.starts_with(' ') || line.starts_with('\t');
-    malformed_ = malformed_ || header_bytes_ > header_limit_bytes || is_continuation;
+    if (header_bytes_ > header_limit_bytes) {
+        reject(mismatch::head_too_long, line);
+    }
+    if (is_continuation) {
+        reject(mismatch::field_line, line);
+    }
     absl::StripAsciiWhitespace(&line);
     if (is_final_) {
-        return !malformed_; // Ignores trailers; none were requested (RFC 9110, 6.5.1).
+        return mismatch_ ==
+               mismatch::none; // Ignores trailers; none were requested (RFC 9110, 6.5.1).
     }
     if (absl::StartsWith(line, "HTTP/")) {
         response_ = {}; // Discards an interim response (1xx).
@@ -176,7 +233,16 @@
         absl::StripAsciiWhitespace(&value);
         response_.headers.add(line.substr(0, colon), std::move(value));
     }
-    return !malformed_;
+    return mismatch_ == mismatch::none;
+}
+
+void attempt::reject(mismatch why, std::string_view line)
+{
+    if (mismatch_ == mismatch::none) {
+        mismatch_ = why;
+        excerpt_ = absl::CHexEscape(
+            absl::string_view(line.data(), std::min(line.size(), max_excerpt_bytes)));
+    }
 }
 
 void attempt::finish_head()
@@ -187,9 +253,12 @@
         return;
     }
     is_final_ = true;
-    malformed_ = malformed_ || request_.expected.is_contradicted(
-                                   static_cast<int>(status), response_.headers);
+    const auto why = request_.expected.check(static_cast<int>(status), response_.headers);
+    if (why != mismatch::none) {
+        reject(why, response_.headers.get(request_.expected.header));
+    }
     if (request_.expected.is_ambiguous_refusal(response_.headers)) {
+        is_reuse_forbidden_ = true;
         curl_easy_setopt(easy_.get(), CURLOPT_FORBID_REUSE, 1L);
     }
     if (response_.headers.has("Transfer-Encoding")) {
@@ -227,12 +296,12 @@
     return 0;
 }
 
-http::failure attempt::failure_of(CURLcode code) const
+http::failure attempt::failure_of(CURLcode code)
 {
     if (exceeds_body_limit_) {
         return failure::endless_response;
     }
-    if (malformed_) {
+    if (mismatch_ != mismatch::none) {
         return failure::malformed_response;
     }
     if (code != CURLE_OK && sends_ == 0) {
@@ -251,13 +320,14 @@
     case CURLE_UNSUPPORTED_PROTOCOL:
     case CURLE_BAD_CONTENT_ENCODING:
     case CURLE_HTTP_RETURNED_ERROR:
+        reject(mismatch::not_http, {});
         return failure::malformed_response;
     default:
         return failure::reset;
     }
 }
 
-http::failure attempt::check_framing() const
+http::failure attempt::check_framing()
 {
     long status = 0;
     curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
@@ -266,7 +336,8 @@
     if (!is_head_complete_) {
         return failure::reset; // libcurl reports success if the connection ends here.
     }
-    if (status < 200) {
+    if (status < first_final_status) {
+        reject(mismatch::framing, {});
         return failure::malformed_response; // The server switched protocols unasked.
     }
     if (request_.method == "HEAD" || status == no_content || status == not_modified) {
@@ -277,6 +348,7 @@
     for (const auto& [name, value] : response_.headers.fields()) {
         if (absl::EqualsIgnoreCase(name, "Content-Length")) {
             if (!length.empty() && length != value) {
+                reject(mismatch::framing, value);
                 return failure::malformed_response;
             }
             length = value;
@@ -288,6 +360,17 @@
                                                       : failure::short_response;
 }
 
+bool attempt::has_surplus() const
+{
+    long version = 0;
+    curl_easy_getinfo(easy_.get(), CURLINFO_HTTP_VERSION, &version);
+    const bool is_kept = version == CURL_HTTP_VERSION_1_1 && !is_reuse_forbidden_ &&
+                         !response_.headers.has("Connection");
+    const bool has_end = response_.headers.has("Content-Length") ||
+                         response_.headers.has("Transfer-Encoding");
+    return is_kept && has_end && connections_.find(request_.to, local_port_) == nullptr;
+}
+
 void attempt::finish(CURLcode code)
 {
     connect_timed_out_ = code == CURLE_OPERATION_TIMEDOUT && sends_ == 0;
@@ -308,11 +391,18 @@
 {
     client_result out;
     out.failure = why;
+    out.mismatch = mismatch_;
+    out.excerpt = std::move(excerpt_);
+    out.connection = use_;
+    if (auto* it = connections_.find(request_.to, local_port_)) {
+        it->last_response = absl::Now();
+    }
     out.elapsed = absl::FromChrono(std::chrono::steady_clock::now() - begin_);
     if (why == failure::none) {
         long status = 0;
         curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
         out.verdict = core::verdict::ran;
+        out.connection.has_surplus = has_surplus();
         out.response = std::move(response_);
         out.response.status = static_cast<int>(status);
     } else {
--- a/src/http/attempt_priv.hpp
+++ b/src/http/attempt_priv.hpp
@@ -2,6 +2,7 @@
 
 #include "cuminpitch/http/client.hpp"
 
+#include "connection_table_priv.hpp"
 #include "received_bytes_priv.hpp"
 
 #include <absl/time/time.h>
@@ -10,6 +11,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace cuminpitch::http {
 
@@ -17,12 +19,14 @@
 class attempt
 {
 public:
-    /// `received` must outlive the attempt.
+    /// `received` must outlive the attempt, and `connections` also the connections that
+    /// libcurl keeps after it.
     attempt(
         client_request request,
         client::callback done,
         bool allow_resend,
-        received_bytes& received);
+        received_bytes& received,
+        connection_table& connections);
     ~attempt();
     attempt(const attempt&) = delete;
     attempt& operator=(const attempt&) = delete;
@@ -40,7 +44,9 @@
     bool exceeds_framing_limit() const { return exceeds_framing_limit_; }
 
 private:
-    static int may_send(void* self, char*, char*, int, int);
+    static int may_send(void* self, char*, char*, int, int local_port);
+    static curl_socket_t open_socket(void* self, curlsocktype, curl_sockaddr* to);
+    static int close_socket(void* connections, curl_socket_t it);
     static std::size_t take_header(char* data, std::size_t, std::size_t n, void* self);
     static std::size_t take_body(char* data, std::size_t, std::size_t n, void* self);
     static int
@@ -49,16 +55,24 @@
     void set_options();
     void set_method();
     void add_headers();
+    /// Notes how the connection was used before this request is sent on it.
+    void note_connection(int local_port);
     bool header_line(std::string line);
     void finish_head();
-    http::failure failure_of(CURLcode code) const;
-    http::failure check_framing() const;
+    /// Rejects the response. Only the first reason is kept.
+    void reject(mismatch why, std::string_view line);
+    /// True if libcurl closed the connection though the response lets it be kept, which
+    /// it does if it has read bytes beyond the end of the response.
+    bool has_surplus() const;
+    http::failure failure_of(CURLcode code);
+    http::failure check_framing();
     void report(http::failure why);
 
     client_request request_;
     client::callback done_;
     const bool allow_resend_;
     received_bytes& received_;
+    connection_table& connections_;
     std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> easy_;
     std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)> fields_;
     std::chrono::steady_clock::time_point begin_ = std::chrono::steady_clock::now();
@@ -67,11 +81,16 @@
     std::uint64_t held_bytes_ = 0;
     std::uint64_t wire_body_bytes_ = 0; ///< Bytes of a chunked body, with framing.
     unsigned sends_ = 0;
+    curl_socket_t opened_socket_ = CURL_SOCKET_BAD;
+    int local_port_ = 0; ///< Of the connection on which the request was sent.
+    connection_use use_;
+    mismatch mismatch_ = mismatch::none;
+    std::string excerpt_;
     bool is_head_complete_ = false;
     bool is_final_ = false; ///< The headers of the final response are complete.
     bool exceeds_body_limit_ = false;
     bool exceeds_framing_limit_ = false;
-    bool malformed_ = false;
+    bool is_reuse_forbidden_ = false;
     bool connect_timed_out_ = false;
 };
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -87,6 +87,7 @@
     handle last_handle_ = 0;
     std::vector<command> commands_;
     received_bytes received_;
+    connection_table connections_;
     absl::flat_hash_map<handle, std::unique_ptr<attempt>> active_;
     absl::flat_hash_map<CURL*, handle> handles_;
     std::thread thread_;
@@ -126,7 +127,11 @@
         return;
     }
     auto next = std::make_unique<attempt>(
-        std::move(it.request), std::move(it.done), options_.allow_resend, received_);
+        std::move(it.request),
+        std::move(it.done),
+        options_.allow_resend,
+        received_,
+        connections_);
     CURL* easy = next->easy();
     if (easy == nullptr) {
         next->finish(CURLE_OUT_OF_MEMORY);
--- a/src/http/expected_response.cpp
+++ b/src/http/expected_response.cpp
@@ -4,27 +4,27 @@
 
 namespace cuminpitch::http {
 
-bool expected_response::is_contradicted(int status, const headers& fields) const
+mismatch expected_response::check(int status, const headers& fields) const
 {
     constexpr int first_success = 200;
     constexpr int first_redirect = 300;
     const bool is_success = status >= first_success && status < first_redirect;
     if (is_success && !success_header.empty() && !fields.has(success_header)) {
-        return true;
+        return mismatch::no_success_proof;
     }
     if (header.empty()) {
-        return false;
+        return mismatch::none;
     }
     bool is_repeated = false;
     for (const auto& [name, repeated] : fields.fields()) {
         if (absl::EqualsIgnoreCase(name, header)) {
             if (repeated != value) {
-                return true;
+                return mismatch::other_request;
             }
             is_repeated = true;
         }
     }
-    return is_success && !is_repeated;
+    return is_success && !is_repeated ? mismatch::other_request : mismatch::none;
 }
 
 bool expected_response::is_ambiguous_refusal(const headers& fields) const
--- /dev/null
+++ b/src/http/mismatch.cpp
@@ -0,0 +1,26 @@
+#include "cuminpitch/http/mismatch.hpp"
+
+namespace cuminpitch::http {
+
+const char* to_string(mismatch it)
+{
+    switch (it) {
+    case mismatch::none:
+        return "none";
+    case mismatch::not_http:
+        return "not-http";
+    case mismatch::head_too_long:
+        return "head-too-long";
+    case mismatch::field_line:
+        return "field-line";
+    case mismatch::framing:
+        return "framing";
+    case mismatch::other_request:
+        return "other-request";
+    case mismatch::no_success_proof:
+        return "no-success-proof";
+    }
+    return "none";
+}
+
+} // namespace cuminpitch::http
--- a/src/request/dispatcher_attempts.cpp
+++ b/src/request/dispatcher_attempts.cpp
@@ -236,6 +236,7 @@
         options_.dialect,
         it.correlation);
     explain_result(it, result, outcome);
+    explain_unexpected_bytes(it, result);
     const bool is_reported = it.is_overdue && result.failure == http::failure::timeout;
     observation seen =
         make_observation(it, is_reported ? observation::kind::none : outcome.evidence);
@@ -257,10 +258,13 @@
     it.sends += outcome.failure == refusal_reason::connect_failed ? 0 : 1;
     end_attempt(it);
     if (!outcome.failure && !(outcome.is_failure_status && it.route->idempotent)) {
+        auto connection = connection_fields(result);
+        connection.push_back({"server", it.server.str()});
         respond_to(
             it,
             core::verdict::ran,
-            from_server(it, std::move(result.response), options_.dialect));
+            from_server(it, std::move(result.response), options_.dialect),
+            std::move(connection));
         return;
     }
     it.may_have_run = it.may_have_run || outcome.verdict != core::verdict::not_run;
@@ -403,8 +407,13 @@
         result.failure == http::failure::none && !verdict_text.empty();
     const auto verdict = parse_verdict(verdict_text);
     if (is_response && verdict != core::verdict::not_run) {
+        auto connection = connection_fields(result);
+        connection.push_back({"entry", it.tried_entries.back().str()});
         respond_to(
-            it, verdict, from_entry(it, std::move(result.response), options_.dialect));
+            it,
+            verdict,
+            from_entry(it, std::move(result.response), options_.dialect),
+            std::move(connection));
         return;
     }
     // A response without a verdict is not from an entry, or not from the part of an entry
@@ -418,13 +427,15 @@
         outcome.failure = refusal_reason::response_too_large;
     }
     const auto reason = result.response.headers.get(http::reason_header);
-    explain_decision(
-        it,
-        "hop failed",
-        {{"entry", it.tried_entries.back().str()},
-         {"reason", is_response ? reason : std::string(to_string(*outcome.failure))},
-         {"verdict", std::string(core::to_string(outcome.verdict))},
-         {"elapsed_ms", absl::ToInt64Milliseconds(result.elapsed)}});
+    std::vector<telemetry::field> inputs = {
+        {"entry", it.tried_entries.back().str()},
+        {"reason", is_response ? reason : std::string(to_string(*outcome.failure))},
+        {"verdict", std::string(core::to_string(outcome.verdict))},
+        {"elapsed_ms", absl::ToInt64Milliseconds(result.elapsed)}};
+    for (auto& field : connection_fields(result)) {
+        inputs.push_back(std::move(field));
+    }
+    explain_decision(it, "hop failed", std::move(inputs));
     it.may_have_run = it.may_have_run || is_sent;
     it.last_failure = outcome.failure;
     const bool is_final = is_response && !it.may_have_run &&
--- a/src/request/dispatcher_impl_priv.hpp
+++ b/src/request/dispatcher_impl_priv.hpp
@@ -14,6 +14,9 @@
 
 namespace cuminpitch::request {
 
+/// The connection of an attempt for the log, and which part of its response did not fit.
+std::vector<telemetry::field> connection_fields(const http::client_result& it);
+
 /// Implementation of dispatcher. Arrivals, queues and events are in dispatcher.cpp,
 /// attempts and retries in dispatcher_attempts.cpp, responses and refusals to callers in
 /// dispatcher_responses.cpp.
@@ -72,7 +75,12 @@
     choose_entry(const std::vector<entry_view>& entries, bool is_path_lost);
 
     void conclude(live_request& it, refusal_reason why);
-    void respond_to(live_request& it, core::verdict verdict, http::response response);
+    /// `connection` describes the connection of the response for the log.
+    void respond_to(
+        live_request& it,
+        core::verdict verdict,
+        http::response response,
+        std::vector<telemetry::field> connection = {});
     void refuse_request(live_request& it, refusal_reason why, core::verdict verdict);
     absl::Duration retry_after(const live_request& it, refusal_reason why) const;
     absl::Duration jittered_retry_after() const;
@@ -87,6 +95,8 @@
         const live_request& it,
         const http::client_result& result,
         const attempt_outcome& outcome);
+    void
+    explain_unexpected_bytes(const live_request& it, const http::client_result& result);
     /// `in_flight` is the number of attempts without a result yet.
     bool has_attempts_left(const live_request& it, std::uint32_t in_flight = 0) const;
     void begin_attempt(live_request& it);
--- a/src/request/dispatcher_responses.cpp
+++ b/src/request/dispatcher_responses.cpp
@@ -3,6 +3,7 @@
 #include "cuminpitch/http/refusal.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cuminpitch::request {
@@ -14,6 +15,11 @@
 constexpr int bad_gateway = 502;
 constexpr int unavailable = 503;
 
+void append(std::vector<telemetry::field>& to, std::vector<telemetry::field> fields)
+{
+    std::move(fields.begin(), fields.end(), std::back_inserter(to));
+}
+
 /// Status of a complete response, else 0.
 std::int64_t status_or_zero(const http::client_result& it)
 {
@@ -22,6 +28,21 @@
 
 } // namespace
 
+std::vector<telemetry::field> connection_fields(const http::client_result& it)
+{
+    std::vector<telemetry::field> out = {{"new_connection", !it.reused_connection}};
+    if (it.reused_connection) {
+        const auto earlier = static_cast<std::int64_t>(it.connection.earlier_requests);
+        out.push_back({"earlier_requests", earlier});
+        out.push_back({"rested_ms", absl::ToInt64Milliseconds(it.connection.rested)});
+    }
+    if (it.mismatch != http::mismatch::none) {
+        out.push_back({"mismatch", std::string(to_string(it.mismatch))});
+        out.push_back({"excerpt", it.excerpt});
+    }
+    return out;
+}
+
 void dispatcher::impl::explain_decision(
     const live_request& it, std::string what, std::vector<telemetry::field> inputs)
 {
@@ -70,17 +91,45 @@
     if (!options_.explains || (!outcome.failure && !outcome.is_failure_status)) {
         return;
     }
-    explain_decision(
-        it,
-        "attempt failed",
-        {{"server", it.server.str()},
-         {"reason",
-          std::string(outcome.failure ? to_string(*outcome.failure) : "failure-status")},
-         {"status", status_or_zero(result)},
-         {"verdict", std::string(core::to_string(outcome.verdict))},
-         {"elapsed_ms", absl::ToInt64Milliseconds(result.elapsed)},
-         {"new_connection", !result.reused_connection},
-         {"connect_timed_out", result.connect_timed_out}});
+    std::vector<telemetry::field> inputs = {
+        {"server", it.server.str()},
+        {"reason",
+         std::string(outcome.failure ? to_string(*outcome.failure) : "failure-status")},
+        {"status", status_or_zero(result)},
+        {"verdict", std::string(core::to_string(outcome.verdict))},
+        {"elapsed_ms", absl::ToInt64Milliseconds(result.elapsed)}};
+    append(inputs, connection_fields(result));
+    inputs.push_back({"connect_timed_out", result.connect_timed_out});
+    explain_decision(it, "attempt failed", std::move(inputs));
+}
+
+/// Bytes that belong to no request show that the server answers some requests twice.
+void dispatcher::impl::explain_unexpected_bytes(
+    const live_request& it, const http::client_result& result)
+{
+    const auto& connection = result.connection;
+    const auto explain_bytes = [&](const char* when) {
+        auto at = pool_label(it);
+        at.emplace_back("when", when);
+        counters_.add("cuminpitch_unexpected_bytes_total", at);
+        std::vector<telemetry::field> inputs = {
+            {"server", it.server.str()},
+            {"when", std::string(when)},
+            {"waiting_bytes", static_cast<std::int64_t>(connection.waiting_bytes)}};
+        append(inputs, connection_fields(result));
+        explain_decision(it, "unexpected bytes", std::move(inputs));
+    };
+    if (connection.waiting_bytes > 0) {
+        explain_bytes("before-request");
+    }
+    if (connection.has_surplus) {
+        explain_bytes("after-response");
+    }
+    if (result.mismatch != http::mismatch::none) {
+        auto at = pool_label(it);
+        at.emplace_back("mismatch", to_string(result.mismatch));
+        counters_.add("cuminpitch_mismatched_responses_total", at);
+    }
 }
 
 /// Ends a request that can't be sent (again): with the failure response of an earlier
@@ -98,19 +147,22 @@
 }
 
 void dispatcher::impl::respond_to(
-    live_request& it, core::verdict verdict, http::response response)
+    live_request& it,
+    core::verdict verdict,
+    http::response response,
+    std::vector<telemetry::field> connection)
 {
     auto at = pool_label(it);
     at.emplace_back("verdict", core::to_string(verdict));
     counters_.add("cuminpitch_responses_total", at);
     counters_.record("cuminpitch_request_seconds", now_ - it.received, pool_label(it));
-    explain_decision(
-        it,
-        "answered",
-        {{"status", std::int64_t{response.status}},
-         {"verdict", std::string(core::to_string(verdict))},
-         {"total_ms", absl::ToInt64Milliseconds(now_ - it.received)},
-         {"attempts", static_cast<std::int64_t>(it.tried.size())}});
+    std::vector<telemetry::field> inputs = {
+        {"status", std::int64_t{response.status}},
+        {"verdict", std::string(core::to_string(verdict))},
+        {"total_ms", absl::ToInt64Milliseconds(now_ - it.received)},
+        {"attempts", static_cast<std::int64_t>(it.tried.size())}};
+    append(inputs, std::move(connection));
+    explain_decision(it, "answered", std::move(inputs));
     out_.emplace_back(respond{it.id, verdict, std::move(response)});
     erase_request(it);
 }
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -113,6 +113,45 @@
     EXPECT_EQ(server.executions(), idle + 1);
 }
 
+// Guards against logs that don't tell whether other requests used the connection before.
+TEST(client, tells_how_its_connection_was_used)
+{
+    raw_server server([](unsigned, const std::string&) { return raw_server::reply{ok}; });
+    const auto it = client::create();
+    EXPECT_EQ(run(*it, request_to(server.at(), "GET")).connection.earlier_requests, 0U);
+    const auto out = run(*it, request_to(server.at(), "GET"));
+    EXPECT_EQ(out.connection.earlier_requests, 1U);
+    EXPECT_GE(out.connection.rested, absl::ZeroDuration());
+    EXPECT_LT(out.connection.rested, absl::Seconds(2));
+    EXPECT_EQ(out.connection.waiting_bytes, 0U);
+    EXPECT_FALSE(out.connection.has_surplus);
+}
+
+// Guards against a late response that leaves no trace in the logs.
+TEST(client, counts_bytes_that_arrived_before_the_request)
+{
+    raw_server server([](unsigned, const std::string&) {
+        raw_server::reply it{ok};
+        it.after_pause = ok;
+        return it;
+    });
+    const auto it = client::create();
+    run(*it, request_to(server.at(), "GET"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    const auto out = run(*it, request_to(server.at(), "GET"));
+    EXPECT_EQ(out.connection.waiting_bytes, ok.size());
+}
+
+// Guards against the same for a second response in the segment of the first.
+TEST(client, tells_that_bytes_followed_the_response)
+{
+    raw_server server(
+        [](unsigned, const std::string&) { return raw_server::reply{ok + ok}; });
+    const auto out = run(*client::create(), request_to(server.at(), "GET"));
+    EXPECT_EQ(out.failure, failure::none);
+    EXPECT_TRUE(out.connection.has_surplus);
+}
+
 // Guards against reuse of a closing connection, and against a resend, when a new
 // connection was requested.
 TEST(client, uses_a_new_connection_when_asked)
--- a/tests/http/raw_socket.hpp
+++ b/tests/http/raw_socket.hpp
@@ -4,12 +4,14 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -105,6 +107,8 @@
         bool reset = false;
         /// Sent repeatedly after `bytes` until the peer closes.
         std::string without_end;
+        /// Sent a moment after `bytes`, in a segment of its own.
+        std::string after_pause;
     };
     using script = std::function<reply(unsigned n, const std::string& request)>;
 
@@ -178,6 +182,8 @@
     {
         while (wait(listener_)) {
             const int socket = ::accept(listener_, nullptr, nullptr);
+            const int on = 1;
+            ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
             ++connections_;
             workers_.emplace_back([this, socket] { serve(socket); });
         }
@@ -208,6 +214,10 @@
             const reply out = script_(++executions_, request);
             request.clear();
             send_all(socket, out.bytes);
+            if (!out.after_pause.empty()) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+                send_all(socket, out.after_pause);
+            }
             if (!out.without_end.empty()) {
                 send_without_end(socket, out.without_end);
                 break;
