Accept the head of a response as a whole or not at all

Cause: a server that answers twice can leave a part of a late response on a kept connection. libcurl then reads it and the begin of the next response as one head: the status comes from the late one ("HTTP/" alone counts as a status line with status 200), while id, proof, length and body come from the response to this request, so that each check of a single field passes. The client kept whatever fields came, and began them anew at a line "HTTP/..." inside a head.

response_head now reads status line and fields strictly (RFC 9112, 4 and 5) and takes or rejects a head as a whole: an exact status line, names that are tokens, no control characters, one length, id and proof at most once. A late part is always followed by the status line of the real response, so on a kept connection a head in which a status line could begin inside a line is rejected as joined-messages; on a new one nothing can stand before the response, and the same bytes are accepted. The status must be the one that libcurl took the framing from. A response without the id is only accepted on a new connection. A request whose response was rejected on a kept connection is repeated on a new one, if it may be repeated.

--- a/include/cuminpitch/http/client.hpp
+++ b/include/cuminpitch/http/client.hpp
@@ -43,15 +43,11 @@
     /// `header`, so a connection isn't reused after one that doesn't.
     std::string refusal_header;
 
-    /// True if a response with this status and these headers can't belong to the request.
-    /// A response without the header is accepted unless its status is 2xx: a server that
-    /// read only a part of the request may have refused it.
-    bool is_contradicted(int status, const headers& fields) const
-    {
-        return check(status, fields) != mismatch::none;
-    }
-    /// Why the response can't belong to the request.
-    mismatch check(int status, const headers& fields) const;
+    /// Why a response with this status and these headers can't belong to the request. On
+    /// a new connection, a response without the header is accepted unless its status is
+    /// 2xx: a server that read only a part of the request may have refused it.
+    mismatch
+    check(int status, const headers& fields, bool is_first_response = true) const;
     /// True if a copy of this response could be taken for the response to another
     /// request.
     bool is_ambiguous_refusal(const headers& fields) const;
--- a/include/cuminpitch/http/message.hpp
+++ b/include/cuminpitch/http/message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -17,7 +18,8 @@
     void remove(std::string_view name);
     /// The first value with that name, or an empty string.
     std::string get(std::string_view name) const;
-    bool has(std::string_view name) const;
+    bool has(std::string_view name) const { return count(name) > 0; }
+    std::size_t count(std::string_view name) const;
     const std::vector<std::pair<std::string, std::string>>& fields() const
     {
         return fields_;
--- a/src/http/attempt.cpp
+++ b/src/http/attempt.cpp
@@ -15,14 +15,11 @@
 namespace cuminpitch::http {
 namespace {
 
-/// Limit on the response headers held in memory.
-constexpr std::size_t header_limit_bytes = 256U << 10U;
 /// Framing bytes that a chunked body may have regardless of its size: as many as headers.
-constexpr std::uint64_t framing_limit_bytes = header_limit_bytes;
+constexpr std::uint64_t framing_limit_bytes = response_head::limit_bytes;
 /// Limit on received bytes per byte of a chunked body: a chunk of one byte takes six, and
 /// more if its size is written with several digits.
 constexpr std::uint64_t max_wire_bytes_per_body_byte = 16;
-constexpr long first_final_status = 200;
 /// Limit on the bytes that are looked at before a request is sent.
 constexpr std::size_t max_waiting_bytes = 512;
 constexpr std::size_t max_excerpt_bytes = 80;
@@ -181,15 +178,18 @@
 {
     long connects = 0;
     curl_easy_getinfo(easy_.get(), CURLINFO_NUM_CONNECTS, &connects);
-    auto* it = connects > 0 ? &connections_.add(request_.to, local_port, opened_socket_)
-                            : connections_.find(request_.to, local_port);
+    is_new_connection_ = connects > 0;
+    head_ = response_head(is_new_connection_);
+    use_ = {};
+    local_port_ = local_port;
+    auto* it = is_new_connection_
+                   ? &connections_.add(request_.to, local_port, opened_socket_)
+                   : connections_.find(request_.to, local_port);
     if (it == nullptr) {
         return;
     }
-    local_port_ = local_port;
-    use_ = {};
     use_.earlier_requests = it->requests++;
-    if (use_.earlier_requests == 0) {
+    if (is_new_connection_) {
         return;
     }
     use_.rested = absl::Now() - it->last_response;
@@ -202,36 +202,16 @@
 attempt::take_header(char* data, std::size_t /*one*/, std::size_t n, void* self)
 {
     auto& it = *static_cast<attempt*>(self);
-    return it.header_line(std::string(data, n)) ? n : 0;
+    return it.header_line(std::string_view(data, n)) ? n : 0;
 }
 
-bool attempt::header_line(std::string line)
+bool attempt::header_line(std::string_view line)
 {
-    header_bytes_ += line.size();
-    // A line that begins with a blank continues the one before it, which is obsolete (RFC
-    // 9112, 5.2). Without its blanks it could look like the end of the head.
-    const bool is_continuation = line.starts_with(' ') || line.starts_with('\t');
-    if (header_bytes_ > header_limit_bytes) {
-        reject(mismatch::head_too_long, line);
-    }
-    if (is_continuation) {
-        reject(mismatch::field_line, line);
-    }
-    absl::StripAsciiWhitespace(&line);
-    if (is_final_) {
-        return mismatch_ ==
-               mismatch::none; // Ignores trailers; none were requested (RFC 9110, 6.5.1).
-    }
-    if (absl::StartsWith(line, "HTTP/")) {
-        response_ = {}; // Discards an interim response (1xx).
-        is_head_complete_ = false;
-    } else if (line.empty()) {
-        is_head_complete_ = true;
+    const bool was_final = head_.is_final();
+    if (const auto why = head_.add(line); why != mismatch::none) {
+        reject(why, line);
+    } else if (!was_final && head_.is_final()) {
         finish_head();
-    } else if (const auto colon = line.find(':'); colon != std::string::npos) {
-        std::string value = line.substr(colon + 1);
-        absl::StripAsciiWhitespace(&value);
-        response_.headers.add(line.substr(0, colon), std::move(value));
     }
     return mismatch_ == mismatch::none;
 }
@@ -249,15 +229,18 @@
 {
     long status = 0;
     curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
-    if (status < first_final_status) {
-        return;
+    response_.status = head_.status();
+    response_.headers = head_.take_fields();
+    if (status != response_.status) {
+        reject(mismatch::status_line, {});
     }
-    is_final_ = true;
-    const auto why = request_.expected.check(static_cast<int>(status), response_.headers);
+    const auto& expected = request_.expected;
+    const auto why =
+        expected.check(response_.status, response_.headers, is_new_connection_);
     if (why != mismatch::none) {
-        reject(why, response_.headers.get(request_.expected.header));
+        reject(why, response_.headers.get(expected.header));
     }
-    if (request_.expected.is_ambiguous_refusal(response_.headers)) {
+    if (expected.is_ambiguous_refusal(response_.headers)) {
         is_reuse_forbidden_ = true;
         curl_easy_setopt(easy_.get(), CURLOPT_FORBID_REUSE, 1L);
     }
@@ -329,33 +312,21 @@
 
 http::failure attempt::check_framing()
 {
-    long status = 0;
-    curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
-    constexpr long no_content = 204;
-    constexpr long not_modified = 304;
-    if (!is_head_complete_) {
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
+    if (!head_.is_complete()) {
         return failure::reset; // libcurl reports success if the connection ends here.
     }
-    if (status < first_final_status) {
+    if (!head_.is_final()) {
         reject(mismatch::framing, {});
         return failure::malformed_response; // The server switched protocols unasked.
     }
-    if (request_.method == "HEAD" || status == no_content || status == not_modified) {
+    if (request_.method == "HEAD" || response_.status == no_content ||
+        response_.status == not_modified) {
         return failure::none;
     }
-    std::string length;
-    bool framed = false;
-    for (const auto& [name, value] : response_.headers.fields()) {
-        if (absl::EqualsIgnoreCase(name, "Content-Length")) {
-            if (!length.empty() && length != value) {
-                reject(mismatch::framing, value);
-                return failure::malformed_response;
-            }
-            length = value;
-            framed = true;
-        }
-        framed = framed || absl::EqualsIgnoreCase(name, "Transfer-Encoding");
-    }
+    const bool framed = response_.headers.has("Content-Length") ||
+                        response_.headers.has("Transfer-Encoding");
     return framed || request_.accepts_close_delimited ? failure::none
                                                       : failure::short_response;
 }
@@ -399,18 +370,13 @@
     }
     out.elapsed = absl::FromChrono(std::chrono::steady_clock::now() - begin_);
     if (why == failure::none) {
-        long status = 0;
-        curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
         out.verdict = core::verdict::ran;
         out.connection.has_surplus = has_surplus();
         out.response = std::move(response_);
-        out.response.status = static_cast<int>(status);
     } else {
         out.verdict = sends_ == 0 ? core::verdict::not_run : core::verdict::may_have_run;
     }
-    long connects = 0;
-    curl_easy_getinfo(easy_.get(), CURLINFO_NUM_CONNECTS, &connects);
-    out.reused_connection = sends_ > 0 && connects == 0;
+    out.reused_connection = sends_ > 0 && !is_new_connection_;
     out.connect_timed_out = connect_timed_out_;
     done_(std::move(out));
 }
--- a/src/http/attempt_priv.hpp
+++ b/src/http/attempt_priv.hpp
@@ -4,6 +4,7 @@
 
 #include "connection_table_priv.hpp"
 #include "received_bytes_priv.hpp"
+#include "response_head_priv.hpp"
 
 #include <absl/time/time.h>
 #include <curl/curl.h>
@@ -57,7 +58,7 @@
     void add_headers();
     /// Notes how the connection was used before this request is sent on it.
     void note_connection(int local_port);
-    bool header_line(std::string line);
+    bool header_line(std::string_view line);
     void finish_head();
     /// Rejects the response. Only the first reason is kept.
     void reject(mismatch why, std::string_view line);
@@ -77,7 +78,8 @@
     std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)> fields_;
     std::chrono::steady_clock::time_point begin_ = std::chrono::steady_clock::now();
     response response_;
-    std::size_t header_bytes_ = 0;
+    bool is_new_connection_ = true;
+    response_head head_;
     std::uint64_t held_bytes_ = 0;
     std::uint64_t wire_body_bytes_ = 0; ///< Bytes of a chunked body, with framing.
     unsigned sends_ = 0;
@@ -86,8 +88,6 @@
     connection_use use_;
     mismatch mismatch_ = mismatch::none;
     std::string excerpt_;
-    bool is_head_complete_ = false;
-    bool is_final_ = false; ///< The headers of the final response are complete.
     bool exceeds_body_limit_ = false;
     bool exceeds_framing_limit_ = false;
     bool is_reuse_forbidden_ = false;
--- a/src/http/expected_response.cpp
+++ b/src/http/expected_response.cpp
@@ -1,30 +1,30 @@
 #include "cuminpitch/http/client.hpp"
 
-#include <absl/strings/match.h>
-
 namespace cuminpitch::http {
 
-mismatch expected_response::check(int status, const headers& fields) const
+mismatch
+expected_response::check(int status, const headers& fields, bool is_first_response) const
 {
     constexpr int first_success = 200;
     constexpr int first_redirect = 300;
     const bool is_success = status >= first_success && status < first_redirect;
-    if (is_success && !success_header.empty() && !fields.has(success_header)) {
-        return mismatch::no_success_proof;
+    if (!success_header.empty()) {
+        const auto proofs = fields.count(success_header);
+        if (is_success && proofs == 0) {
+            return mismatch::no_success_proof;
+        }
+        if (proofs > 1) {
+            return mismatch::repeated_field;
+        }
     }
     if (header.empty()) {
         return mismatch::none;
     }
-    bool is_repeated = false;
-    for (const auto& [name, repeated] : fields.fields()) {
-        if (absl::EqualsIgnoreCase(name, header)) {
-            if (repeated != value) {
-                return mismatch::other_request;
-            }
-            is_repeated = true;
-        }
+    const auto ids = fields.count(header);
+    if (ids > 0 ? fields.get(header) != value : is_success || !is_first_response) {
+        return mismatch::other_request;
     }
-    return is_success && !is_repeated ? mismatch::other_request : mismatch::none;
+    return ids > 1 ? mismatch::repeated_field : mismatch::none;
 }
 
 bool expected_response::is_ambiguous_refusal(const headers& fields) const
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -38,11 +38,12 @@
     return it == fields_.end() ? std::string() : it->second;
 }
 
-bool headers::has(std::string_view name) const
+std::size_t headers::count(std::string_view name) const
 {
-    return std::any_of(fields_.begin(), fields_.end(), [&](const auto& field) {
+    const auto n = std::count_if(fields_.begin(), fields_.end(), [&](const auto& field) {
         return equal_name(field.first, name);
     });
+    return static_cast<std::size_t>(n);
 }
 
 std::string request::query_value(std::string_view name) const
--- a/src/http/mismatch.cpp
+++ b/src/http/mismatch.cpp
@@ -11,8 +11,14 @@
         return "not-http";
     case mismatch::head_too_long:
         return "head-too-long";
+    case mismatch::status_line:
+        return "status-line";
     case mismatch::field_line:
         return "field-line";
+    case mismatch::joined_messages:
+        return "joined-messages";
+    case mismatch::repeated_field:
+        return "repeated-field";
     case mismatch::framing:
         return "framing";
     case mismatch::other_request:
--- a/src/request/attempt_outcome.cpp
+++ b/src/request/attempt_outcome.cpp
@@ -30,7 +30,7 @@
     const http::client_result& it, const dialect& names, const std::string& correlation)
 {
     const auto expected = expected_from_server(names, correlation);
-    if (expected.is_contradicted(it.response.status, it.response.headers)) {
+    if (expected.check(it.response.status, it.response.headers) != http::mismatch::none) {
         return false;
     }
     const bool has_correlation =
--- a/src/request/dispatcher_attempts.cpp
+++ b/src/request/dispatcher_attempts.cpp
@@ -267,6 +267,9 @@
             std::move(connection));
         return;
     }
+    it.needs_new_connection = it.needs_new_connection ||
+                              (outcome.failure == refusal_reason::malformed_response &&
+                               result.reused_connection);
     it.may_have_run = it.may_have_run || outcome.verdict != core::verdict::not_run;
     if (outcome.failure) {
         it.last_failure = outcome.failure;
--- a/src/request/messages.cpp
+++ b/src/request/messages.cpp
@@ -20,7 +20,7 @@
     out.request = it.id;
     out.attempt = it.attempt;
     out.timeout = remaining;
-    out.fresh_connection = !it.route->idempotent;
+    out.fresh_connection = !it.route->idempotent || it.needs_new_connection;
     out.max_response_bytes = it.pool->max_response_bytes;
     out.headers = end_to_end_headers(it.message->headers);
     out.headers.remove(hop_header);
--- a/tests/request/dispatcher_test.cpp
+++ b/tests/request/dispatcher_test.cpp
@@ -171,6 +171,23 @@
     EXPECT_TRUE(finish(second.send.attempt, complete()).empty());
 }
 
+// Guards against rejecting the response of a second server for the same reason, though it
+// can only be the server's own.
+TEST_F(dispatcher_test, repeats_on_a_new_connection_after_a_rejected_response)
+{
+    for (const bool was_reused : {true, false}) {
+        serve(pool_p, 2);
+        const auto sent = only<start_attempt>(arrive("/read"));
+        EXPECT_FALSE(sent.send.fresh_connection);
+        auto rejected =
+            failed_result(http::failure::malformed_response, core::verdict::may_have_run);
+        rejected.reused_connection = was_reused;
+        const auto again = only<start_attempt>(finish(sent.send.attempt, rejected));
+        EXPECT_EQ(again.send.fresh_connection, was_reused);
+        finish(again.send.attempt, complete());
+    }
+}
+
 // Guards against two requests with the same id, whose responses could be swapped.
 TEST_F(dispatcher_test, drops_duplicate_request_id)
 {
