Use no kept connection on which bytes have arrived before the request

What callers saw: nothing wrong, but a request that followed a late response lost its attempt.

Bytes that arrive before a request is sent can't belong to its response. The client looks at the socket before it sends, closes the connection if there is anything to read, or if it is closed, and starts the same attempt on a new connection. Nothing has been sent by then, so this holds for every request. Bytes that arrive later are left to the checks of the head.

client.does_not_use_a_connection_with_bytes_of_a_late_response fails without the change (the request gets a failure) and passes with it. http_test and request_test pass.

--- a/include/cuminpitch/http/client.hpp
+++ b/include/cuminpitch/http/client.hpp
@@ -84,8 +84,8 @@
     std::uint32_t earlier_requests = 0; ///< Requests sent on it before this one.
     /// Time between the response before and this request, 0 on a new connection.
     absl::Duration rested;
-    /// Bytes that had arrived on it before this request was sent, so they don't answer
-    /// it. Up to a limit of a few hundred bytes, what follows isn't counted.
+    /// Bytes that had arrived on another kept connection before this request, which was
+    /// closed and not used. Counted up to a limit of a few hundred.
     std::uint32_t waiting_bytes = 0;
     /// More bytes arrived together with the end of the response.
     bool has_surplus = false;
--- a/src/http/attempt.cpp
+++ b/src/http/attempt.cpp
@@ -9,8 +9,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdlib>
 #include <cstring>
+#include <utility>
 
 namespace cuminpitch::http {
 namespace {
@@ -155,8 +157,11 @@
     if (it.sends_ > 0 && !it.allow_resend_) {
         return CURL_PREREQFUNC_ABORT;
     }
+    if (!it.may_use_connection(local_port)) {
+        it.needs_restart_ = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
     ++it.sends_;
-    it.note_connection(local_port);
     return CURL_PREREQFUNC_OK;
 }
 
@@ -174,7 +179,7 @@
     return ::close(it);
 }
 
-void attempt::note_connection(int local_port)
+bool attempt::may_use_connection(int local_port)
 {
     long connects = 0;
     curl_easy_getinfo(easy_.get(), CURLINFO_NUM_CONNECTS, &connects);
@@ -185,17 +190,20 @@
     auto* it = is_new_connection_
                    ? &connections_.add(request_.to, local_port, opened_socket_)
                    : connections_.find(request_.to, local_port);
+    use_.waiting_bytes = discarded_bytes_;
     if (it == nullptr) {
-        return;
+        return true;
     }
     use_.earlier_requests = it->requests++;
     if (is_new_connection_) {
-        return;
+        return true;
     }
     use_.rested = absl::Now() - it->last_response;
     char buf[max_waiting_bytes];
     const auto n = ::recv(it->socket, buf, sizeof buf, MSG_PEEK | MSG_DONTWAIT);
-    use_.waiting_bytes = n > 0 ? static_cast<std::uint32_t>(n) : 0;
+    discarded_bytes_ = n > 0 ? static_cast<std::uint32_t>(n) : 0;
+    const bool is_idle = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return is_idle;
 }
 
 std::size_t
@@ -348,6 +356,15 @@
     report(failure_of(code));
 }
 
+bool attempt::needs_restart()
+{
+    if (!std::exchange(needs_restart_, false)) {
+        return false;
+    }
+    curl_easy_setopt(easy_.get(), CURLOPT_FRESH_CONNECT, 1L);
+    return true;
+}
+
 void attempt::cancel()
 {
     report(failure::cancelled);
--- a/src/http/attempt_priv.hpp
+++ b/src/http/attempt_priv.hpp
@@ -35,6 +35,9 @@
     /// Null if libcurl could not allocate the handle.
     CURL* easy() { return easy_.get(); }
     void finish(CURLcode code);
+    /// True if the attempt has found a connection that it must not use, which libcurl has
+    /// closed. The caller must then start the transfer again, on a new connection.
+    bool needs_restart();
     void cancel();
     /// Reports failure::endless_response.
     void abort_endless();
@@ -56,8 +59,9 @@
     void set_options();
     void set_method();
     void add_headers();
-    /// Notes how the connection was used before this request is sent on it.
-    void note_connection(int local_port);
+    /// Notes how the connection was used before this request. Returns false if it must
+    /// not be used: bytes that arrive before the request can't belong to its response.
+    bool may_use_connection(int local_port);
     bool header_line(std::string_view line);
     void finish_head();
     /// Rejects the response. Only the first reason is kept.
@@ -79,6 +83,8 @@
     std::chrono::steady_clock::time_point begin_ = std::chrono::steady_clock::now();
     response response_;
     bool is_new_connection_ = true;
+    bool needs_restart_ = false;
+    std::uint32_t discarded_bytes_ = 0; ///< Found on a connection that wasn't used.
     response_head head_;
     std::uint64_t held_bytes_ = 0;
     std::uint64_t wire_body_bytes_ = 0; ///< Bytes of a chunked body, with framing.
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -193,8 +193,14 @@
     while (const CURLMsg* message = curl_multi_info_read(multi_, &left)) {
         if (message->msg == CURLMSG_DONE) {
             const CURLcode code = message->data.result;
-            const auto done = take(handles_.at(message->easy_handle));
-            done->finish(code);
+            CURL* const easy = message->easy_handle;
+            const handle id = handles_.at(easy);
+            if (active_.at(id)->needs_restart()) {
+                curl_multi_remove_handle(multi_, easy);
+                curl_multi_add_handle(multi_, easy);
+                continue;
+            }
+            take(id)->finish(code);
         }
     }
 }
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -127,19 +127,28 @@
     EXPECT_FALSE(out.connection.has_surplus);
 }
 
-// Guards against a late response that leaves no trace in the logs.
-TEST(client, counts_bytes_that_arrived_before_the_request)
+// Guards against a late response that is taken for that of the next request, or costs it
+// its own response.
+TEST(client, does_not_use_a_connection_with_bytes_of_a_late_response)
 {
-    raw_server server([](unsigned, const std::string&) {
-        raw_server::reply it{ok};
-        it.after_pause = ok;
-        return it;
-    });
-    const auto it = client::create();
-    run(*it, request_to(server.at(), "GET"));
-    std::this_thread::sleep_for(std::chrono::milliseconds(100));
-    const auto out = run(*it, request_to(server.at(), "GET"));
-    EXPECT_EQ(out.connection.waiting_bytes, ok.size());
+    const std::string late = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate";
+    for (const std::size_t cut : {std::size_t{1}, std::size_t{20}, late.size()}) {
+        raw_server server([&](unsigned, const std::string&) {
+            raw_server::reply it{ok};
+            it.after_pause = late.substr(0, cut);
+            return it;
+        });
+        const auto it = client::create();
+        run(*it, request_to(server.at(), "GET"));
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        const auto out = run(*it, request_to(server.at(), "GET"));
+        EXPECT_EQ(out.failure, failure::none);
+        EXPECT_EQ(out.response.body, "ok");
+        EXPECT_FALSE(out.reused_connection);
+        EXPECT_EQ(out.connection.waiting_bytes, cut);
+        EXPECT_EQ(server.connections(), 2U);
+        EXPECT_EQ(server.executions(), 2U);
+    }
 }
 
 // Guards against the same for a second response in the segment of the first.
