--- a/tests/http/joined_responses_test.cpp
+++ b/tests/http/joined_responses_test.cpp
@@ -223,7 +223,7 @@
     const message& real = GetParam();
     std::mt19937 random(static_cast<std::mt19937::result_type>(real.bytes().size()));
     const auto late = late_responses();
-    static const std::string inserted = "\r\n \t:H/1.0\0a5";
+    static const std::string inserted = std::string("\r\n \t:H/1.0a5") + '\0';
     for (int i = 0; i < changes && !HasFailure(); ++i) {
         auto bytes = late[random() % late.size()].bytes();
         bytes.resize(1 + random() % bytes.size());
