--- a/tests/http/raw_socket.hpp
+++ b/tests/http/raw_socket.hpp
@@ -107,8 +107,9 @@
         bool reset = false;
         /// Sent repeatedly after `bytes` until the peer closes.
         std::string without_end;
-        /// Sent a moment after `bytes`, in a segment of its own.
+        /// Sent `pause` after `bytes`, in a segment of its own.
         std::string after_pause;
+        std::chrono::milliseconds pause{1};
     };
     using script = std::function<reply(unsigned n, const std::string& request)>;
 
@@ -215,7 +216,7 @@
             request.clear();
             send_all(socket, out.bytes);
             if (!out.after_pause.empty()) {
-                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+                std::this_thread::sleep_for(out.pause);
                 send_all(socket, out.after_pause);
             }
             if (!out.without_end.empty()) {
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -226,6 +226,32 @@
     waiting->respond({});
 }
 
+// Guards against a response that looks complete, or is followed by a piece of another
+// one, when the server stops while it writes it.
+TEST(server, stop_cuts_the_response_that_it_writes)
+{
+    const std::string body(16U << 20U, 'x');
+    std::vector<std::shared_ptr<exchange>> waiting;
+    auto it = start([&](const request& in, const std::shared_ptr<exchange>& to) {
+        in.path == "/waits" ? waiting.push_back(to)
+                            : to->respond(json_response(200, body));
+    });
+    const raw_caller caller(it->listening().port);
+    caller.send(
+        "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET /waits HTTP/1.1\r\nHost: h\r\n\r\n");
+    auto text = caller.read_to("\r\n\r\n");
+    it.reset();
+    text += caller.read_all();
+    EXPECT_NE(
+        text.find("Content-Length: " + std::to_string(body.size())), std::string::npos);
+    const auto head = text.find("\r\n\r\n") + 4;
+    EXPECT_LT(text.size() - head, body.size());
+    EXPECT_EQ(text.find_first_not_of('x', head), std::string::npos);
+    for (const auto& each : waiting) {
+        each->respond({});
+    }
+}
+
 // Guards against aborting requests in flight when the server stops listening.
 TEST(server, finishes_requests_after_it_stops_listening)
 {
