--- a/tests/request/live_entry.hpp
+++ b/tests/request/live_entry.hpp
@@ -46,6 +46,7 @@
         const absl::MutexLock lock(&mutex_);
         return decisions_;
     }
+    void check_timers() { handle(tick{}); }
 
 private:
     void receive(http::request in, const std::shared_ptr<http::exchange>& to)
