Let backend servers of the soak answer twice

No stand-in wrote a second answer on a kept connection, and the ledger judged a success by its body alone, so the soak couldn't see a status that the server hadn't given.

Servers record each answer under a signature that names the run; each success and each failure with a signature is compared with that record: status, id and body. The former check of the body is part of it, as the recorded body names request and signature.

--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -40,10 +40,10 @@
 
 } // namespace
 
-std::string body_for(const std::string& request, const std::string& server)
+std::string body_for(const std::string& request, const std::string& signature)
 {
     constexpr std::size_t body_bytes = 600;
-    std::string out = absl::StrCat(request, " from ", server, " ");
+    std::string out = absl::StrCat(request, " from ", signature, " ");
     out.append(body_bytes, 'b');
     return out;
 }
@@ -83,6 +83,12 @@
     arrivals_.push_back(std::move(it));
 }
 
+void ledger::add(answer_record it)
+{
+    const absl::MutexLock lock(&mutex_);
+    answers_.push_back(std::move(it));
+}
+
 void ledger::add_departure(const std::string& server, absl::Time acknowledged)
 {
     const absl::MutexLock lock(&mutex_);
@@ -144,6 +150,7 @@
     const absl::MutexLock lock(&mutex_);
     auto out = problems_;
     check_requests(disturbed, out);
+    check_answers(out);
     check_departures(disturbed, out);
     check_reads(out);
     return out;
@@ -192,12 +199,6 @@
         if (says_not_run(answer.status) && it.kind != request_kind::safe && ran > 0) {
             report("refused as not executed, but executed");
         }
-        if (is_success(answer.status)) {
-            const std::string server = answer.headers.get("X-Upstream-Signature");
-            if (server.empty() || answer.body != body_for(it.id, server)) {
-                report("response incomplete or for another request");
-            }
-        }
         const bool is_client_error = answer.status >= first_client_error &&
                                      answer.status < first_server_error &&
                                      !says_not_run(answer.status);
@@ -207,6 +208,53 @@
     }
 }
 
+void ledger::check_answers(std::vector<std::string>& to) const
+{
+    absl::btree_map<std::string, const answer_record*> given;
+    for (const auto& it : answers_) {
+        given[it.response.headers.get("X-Upstream-Signature")] = &it;
+    }
+    for (const auto& it : requests_) {
+        const auto& got = it.result.response;
+        const std::string signature = got.headers.get("X-Upstream-Signature");
+        if (it.result.failure != http::failure::none ||
+            (signature.empty() && !is_success(got.status))) {
+            continue;
+        }
+        const auto found = given.find(signature);
+        const bool is_own = found != given.end() && found->second->request == it.id;
+        std::string problem;
+        if (signature.empty()) {
+            problem = "success without the signature of a server";
+        } else if (!is_own) {
+            problem = "signature of another run";
+        } else if (const auto& sent = found->second->response;
+                   got.status != sent.status) {
+            problem = absl::StrCat("server answered with status ", sent.status);
+        } else if (
+            got.headers.get("X-Attempt-Id") != sent.headers.get("X-Attempt-Id") ||
+            got.headers.get("X-Attempt-Id") != it.id) {
+            problem = "id differs from the server's answer or the request";
+        } else if (got.body != sent.body) {
+            problem = "response incomplete or for another request";
+        }
+        if (!problem.empty()) {
+            to.push_back(absl::StrCat(
+                problem,
+                ": request ",
+                it.id,
+                " at ",
+                it.entry,
+                ", status ",
+                got.status,
+                ", signature ",
+                signature,
+                ", sent ",
+                absl::FormatTime(it.sent)));
+        }
+    }
+}
+
 void ledger::check_departures(
     const disturbances& disturbed, std::vector<std::string>& to) const
 {
--- a/tests/soak/ledger.hpp
+++ b/tests/soak/ledger.hpp
@@ -39,6 +39,13 @@
     bool has_run = false;
 };
 
+/// The answer to a run as recorded by a backend server.
+struct answer_record
+{
+    std::string request;
+    http::response response;
+};
+
 /// Time spans in which injected faults affected a process. Checks with a time bound skip
 /// what was affected shortly before.
 class disturbances
@@ -67,6 +74,7 @@
 public:
     void add(request_record it);
     void add(arrival_record it);
+    void add(answer_record it);
     /// Records that control acknowledged the departure that `server` announced.
     void add_departure(const std::string& server, absl::Time acknowledged);
     void add_acknowledged(std::uint64_t number, absl::Time at);
@@ -84,6 +92,9 @@
 private:
     void
     check_requests(const disturbances& disturbed, std::vector<std::string>& to) const;
+    /// Each success, and each failure with the signature of a server, must be the answer
+    /// that this server gave to this request.
+    void check_answers(std::vector<std::string>& to) const;
     void
     check_departures(const disturbances& disturbed, std::vector<std::string>& to) const;
     void check_reads(std::vector<std::string>& to) const;
@@ -91,14 +102,15 @@
     mutable absl::Mutex mutex_;
     std::vector<request_record> requests_;
     std::vector<arrival_record> arrivals_;
+    std::vector<answer_record> answers_;
     absl::btree_map<std::string, absl::Time> departures_;
     std::vector<std::pair<absl::Time, std::uint64_t>> acknowledged_;
     std::vector<std::pair<absl::Time, std::uint64_t>> reads_;
     std::vector<std::string> problems_;
 };
 
-/// The body with which `server` answers `request`. It names both, so that a caller can
-/// verify that it got the response to its own request.
-std::string body_for(const std::string& request, const std::string& server);
+/// The body of the answer to `request` with `signature`. It names both, so that a caller
+/// can verify that it got the response to its own request.
+std::string body_for(const std::string& request, const std::string& signature);
 
 } // namespace cuminpitch::testing
--- a/tests/soak/ledger_test.cpp
+++ b/tests/soak/ledger_test.cpp
@@ -21,13 +21,25 @@
         request_record it{"q", kind, "entry-1", now, now + absl::Milliseconds(50), {}};
         it.result.verdict = core::verdict::ran;
         it.result.response.status = status;
-        it.result.response.headers.set("X-Upstream-Signature", "s");
+        if (!body.empty()) {
+            it.result.response.headers.set("X-Attempt-Id", "q");
+            it.result.response.headers.set("X-Upstream-Signature", "s/q/1");
+        }
         it.result.response.body = std::move(body);
         records.add(std::move(it));
         for (int i = 0; i < runs; ++i) {
             records.add(arrival_record{"q", "s", now, true});
         }
     }
+    void add_server_answer(const std::string& request, int status)
+    {
+        answer_record it{request, {}};
+        it.response.status = status;
+        it.response.headers.set("X-Attempt-Id", request);
+        it.response.headers.set("X-Upstream-Signature", "s/q/1");
+        it.response.body = body_for(request, "s/q/1");
+        records.add(std::move(it));
+    }
     void expect_problem(const std::string& text) const
     {
         EXPECT_THAT(records.problems(disturbed), ElementsAre(HasSubstr(text)));
@@ -40,7 +52,8 @@
 
 TEST_F(ledger_test, accepts_expected_results)
 {
-    add_answered_request(request_kind::order, 200, body_for("q", "s"), 1);
+    add_server_answer("q", 200);
+    add_answered_request(request_kind::order, 200, body_for("q", "s/q/1"), 1);
     add_answered_request(request_kind::safe, 503);
     EXPECT_THAT(records.problems(disturbed), IsEmpty());
 }
@@ -59,10 +72,50 @@
 
 TEST_F(ledger_test, detects_the_response_to_another_request)
 {
-    add_answered_request(request_kind::safe, 200, body_for("other", "s"), 1);
+    add_server_answer("q", 200);
+    add_answered_request(request_kind::safe, 200, body_for("other", "s/q/1"), 1);
     expect_problem("response incomplete or for another request");
 }
 
+TEST_F(ledger_test, detects_a_success_where_the_server_answered_with_a_failure)
+{
+    add_server_answer("q", 500);
+    add_answered_request(request_kind::safe, 200, body_for("q", "s/q/1"), 1);
+    expect_problem("server answered with status 500");
+}
+
+TEST_F(ledger_test, detects_a_failure_where_the_server_answered_with_a_success)
+{
+    add_server_answer("q", 200);
+    add_answered_request(request_kind::safe, 500, body_for("q", "s/q/1"), 1);
+    expect_problem("server answered with status 200");
+}
+
+TEST_F(ledger_test, detects_the_signature_of_another_run)
+{
+    add_server_answer("other", 200);
+    add_answered_request(request_kind::safe, 200, body_for("q", "s/q/1"), 1);
+    expect_problem("signature of another run");
+}
+
+TEST_F(ledger_test, detects_a_foreign_id)
+{
+    add_server_answer("q", 200);
+    request_record it{"q", request_kind::safe, "entry-1", now, now, {}};
+    it.result.response.status = 200;
+    it.result.response.headers.set("X-Attempt-Id", "other");
+    it.result.response.headers.set("X-Upstream-Signature", "s/q/1");
+    it.result.response.body = body_for("q", "s/q/1");
+    records.add(std::move(it));
+    expect_problem("id differs");
+}
+
+TEST_F(ledger_test, detects_a_success_without_a_signature)
+{
+    add_answered_request(request_kind::safe, 200);
+    expect_problem("without the signature");
+}
+
 TEST_F(ledger_test, detects_a_client_error)
 {
     add_answered_request(request_kind::safe, 404);
--- a/tests/soak/loopback_proxy.hpp
+++ b/tests/soak/loopback_proxy.hpp
@@ -22,6 +22,20 @@
         bool holds_to_caller = false; ///< Holds back what the target sends.
         bool refuses = false;         ///< Resets each new connection.
     };
+    /// Answers that the target seems to give twice: after a whole HTTP response, bytes of
+    /// it are written again, at once, some ms later or when the next request arrives.
+    struct repetition
+    {
+        enum class form
+        {
+            whole,
+            cut, ///< At a random byte, one in two times inside the head.
+            in_pieces,
+        };
+        form written = form::whole;
+        unsigned percent = 0; ///< Of the responses.
+        std::uint64_t seed = 0;
+    };
     using proxy_id = std::uint64_t;
 
     proxy_loop();
@@ -33,6 +47,9 @@
     proxy_id add(const core::endpoint& from, const core::endpoint& to);
     core::endpoint listening(proxy_id id) const;
     void set(proxy_id id, const impairment& it);
+    void set_repetition(proxy_id id, const repetition& it);
+    /// Number of whole writes of repeated bytes, over all proxies.
+    std::uint64_t repetitions() const;
     /// Forwards new connections to `to`; open ones keep their target.
     void set_target(proxy_id id, const core::endpoint& to);
     /// Resets all open connections of the proxy.
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -29,6 +29,7 @@
 constexpr absl::Duration recovery = absl::Seconds(15);
 constexpr absl::Duration final_measurement = absl::Seconds(3);
 constexpr std::size_t upload_bytes = 30000;
+constexpr absl::Duration first_fault = absl::Seconds(2);
 constexpr absl::Duration step = absl::Milliseconds(10);
 
 class soak
@@ -69,6 +70,7 @@
 
     void inject_fault(unsigned which);
     void inject_server_fault(unsigned which);
+    void set_server_fault(soak_server& it, server_fault kind, absl::Duration length);
     void wait(absl::Duration length);
     std::uint64_t pick(std::uint64_t below) { return random_() % below; }
     std::string pick_process(const std::string& prefix);
@@ -345,19 +347,24 @@
         log_fault("reset connections of " + it.id());
         loop_.reset(path);
     } else {
-        const auto kind = static_cast<server_fault>(1 + pick(6));
-        log_fault(absl::StrCat("fault ", static_cast<int>(kind), " of ", it.id()));
-        it.set_fault(kind);
-        scheduled_restores_.emplace_back(absl::Now() + length, [this, id = it.id()] {
-            for (const auto& each : servers_) {
-                if (each->id() == id) {
-                    each->set_fault(server_fault::none);
-                }
-            }
-        });
+        const auto kind = static_cast<server_fault>(1 + pick(9));
+        set_server_fault(it, kind, length);
     }
 }
 
+void soak::set_server_fault(soak_server& it, server_fault kind, absl::Duration length)
+{
+    log_fault(absl::StrCat("fault ", static_cast<int>(kind), " of ", it.id()));
+    it.set_fault(kind);
+    scheduled_restores_.emplace_back(absl::Now() + length, [this, id = it.id()] {
+        for (const auto& each : servers_) {
+            if (each->id() == id) {
+                each->set_fault(server_fault::none);
+            }
+        }
+    });
+}
+
 void soak::wait(absl::Duration length)
 {
     const absl::Time end = absl::Now() + length;
@@ -403,6 +410,11 @@
     constexpr unsigned kinds = 20; // From 16 on, a backend server gets a server_fault.
     started_ = absl::Now();
     const absl::Time end = started_ + options_.length;
+    // Of all servers first, so that each run has second answers whatever is drawn.
+    for (const auto& it : servers_) {
+        set_server_fault(*it, server_fault::answers_twice_cut, first_fault);
+    }
+    wait(first_fault);
     while (absl::Now() < end) {
         const auto series = 1 + pick(3);
         for (std::uint64_t i = 0; i < series; ++i) {
@@ -465,6 +477,7 @@
     threads_.clear();
     servers_.clear(); // Waits for running requests, so that all are recorded.
     out.requests = records_.requests();
+    out.repetitions = loop_.repetitions();
     out.served = records_.served_since(absl::InfinitePast());
     out.problems = records_.problems(disturbed_);
     out.problems.insert(out.problems.end(), stop_problems_.begin(), stop_problems_.end());
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -20,9 +20,10 @@
     std::vector<std::string> problems; ///< One line for each violation of a guarantee.
     std::vector<std::string> faults;   ///< The injected faults in order of time.
     std::size_t requests = 0;
-    double served = 0;        ///< Fraction of all requests that succeeded.
-    double served_at_end = 0; ///< The same fraction after the recovery.
-    std::string folder;       ///< Holds logs and settings of the processes.
+    std::uint64_t repetitions = 0; ///< Writes of second answers of backend servers.
+    double served = 0;             ///< Fraction of all requests that succeeded.
+    double served_at_end = 0;      ///< The same fraction after the recovery.
+    std::string folder;            ///< Holds logs and settings of the processes.
 };
 
 /// Runs the soak for one seed: starts a fleet, injects faults while callers, backend
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -15,7 +15,7 @@
 std::vector<std::uint64_t> seeds()
 {
     // Seeds that have failed stay in this list; docs/soak.md gives the cause of each.
-    std::vector<std::uint64_t> out = {1, 2};
+    std::vector<std::uint64_t> out = {1, 2, 9004, 9006};
     if (const char* text = std::getenv("CUMINPITCH_SOAK_SEEDS")) {
         const std::string range = text;
         const auto dash = range.find('-');
@@ -52,8 +52,10 @@
     const auto it = run_soak({CUMINPITCH_BINARY_DIR, GetParam(), length()});
     std::cout << "seed " << GetParam() << ": " << it.requests << " requests, "
               << it.served << " served, " << it.served_at_end << " at the end, "
-              << it.faults.size() << " faults, logs in " << it.folder << std::endl;
+              << it.faults.size() << " faults, " << it.repetitions
+              << " writes of second answers, logs in " << it.folder << std::endl;
     EXPECT_GT(it.requests, 0U);
+    EXPECT_GT(it.repetitions, 0U);
     EXPECT_TRUE(it.problems.empty()) << absl::StrJoin(it.problems, "\n") << "\nfaults:\n"
                                      << absl::StrJoin(it.faults, "\n");
 }
--- a/tests/soak/stand_ins.cpp
+++ b/tests/soak/stand_ins.cpp
@@ -18,6 +18,10 @@
 constexpr std::uint64_t min_work_ms = 10;
 constexpr std::uint64_t work_spread_ms = 40;
 constexpr std::uint64_t failing_percent = 60;
+/// Low, so that a server that answers twice still gets requests: with the share above, a
+/// run had two or three second answers.
+constexpr std::uint64_t failing_percent_twice = 20;
+constexpr unsigned repeated_percent = 70;
 
 /// Status with which followers of the control group redirect to the leader.
 constexpr int redirect = 307;
@@ -115,6 +119,27 @@
     }
 }
 
+void soak_server::set_fault(server_fault it)
+{
+    using form = proxy_loop::repetition::form;
+    const absl::MutexLock lock(&mutex_);
+    proxy_loop::repetition twice{form::whole, repeated_percent, random_()};
+    switch (it) {
+    case server_fault::answers_twice:
+        break;
+    case server_fault::answers_twice_cut:
+        twice.written = form::cut;
+        break;
+    case server_fault::answers_twice_in_pieces:
+        twice.written = form::in_pieces;
+        break;
+    default:
+        twice.percent = 0;
+    }
+    loop_.set_repetition(proxy_, twice);
+    fault_ = it;
+}
+
 void soak_server::crash()
 {
     crashed_ = true;
@@ -146,26 +171,40 @@
         {
             const absl::MutexLock lock(&mutex_);
             work = absl::Milliseconds(min_work_ms + random_() % work_spread_ms);
-            fails = random_() % 100 < failing_percent;
+            const bool is_twice = fault_ >= server_fault::answers_twice;
+            fails =
+                random_() % 100 < (is_twice ? failing_percent_twice : failing_percent);
         }
-        loop_.after(work, [this, request, to, fails] {
-            finish(request, to, fails);
+        // Names the run, so that the answers to two runs can be told apart.
+        const auto signature = absl::StrCat(self_.id, "/", request, "/", ++last_run_);
+        loop_.after(work, [this, request, signature, to, fails] {
+            finish(request, signature, to, fails);
             --in_flight_;
         });
     }
 }
 
 void soak_server::finish(
-    const std::string& request, const std::shared_ptr<http::exchange>& to, bool fails)
+    const std::string& request,
+    const std::string& signature,
+    const std::shared_ptr<http::exchange>& to,
+    bool fails)
 {
+    const auto respond = [&](http::response answer) {
+        records_.add(answer_record{request, answer});
+        to->respond(std::move(answer));
+    };
     http::response it;
     it.headers.set("X-Attempt-Id", request);
-    it.headers.set("X-Upstream-Signature", self_.id);
-    it.body = body_for(request, self_.id);
+    it.headers.set("X-Upstream-Signature", signature);
+    it.body = body_for(request, signature);
     switch (fails ? fault_.load() : server_fault::none) {
     case server_fault::errors:
+    case server_fault::answers_twice:
+    case server_fault::answers_twice_cut:
+    case server_fault::answers_twice_in_pieces:
         it.status = 500;
-        to->respond(std::move(it));
+        respond(std::move(it));
         break;
     case server_fault::resets:
         to->break_off(std::nullopt, 0);
@@ -178,11 +217,11 @@
         break;
     case server_fault::wrong_id:
         it.headers.set("X-Attempt-Id", "another-request");
-        to->respond(std::move(it));
+        respond(std::move(it));
         break;
     case server_fault::sheds:
     case server_fault::none:
-        to->respond(std::move(it));
+        respond(std::move(it));
         break;
     }
 }
--- a/tests/soak/stand_ins.hpp
+++ b/tests/soak/stand_ins.hpp
@@ -27,6 +27,11 @@
     sheds,    ///< Refuses requests as not executed.
     cuts,     ///< Closes the connection in the middle of the response.
     wrong_id, ///< Answers with the id of another request.
+    // Answers 500 after the request was executed, and gives most answers, whichever their
+    // status, a second time on the same connection: whole, cut, or in two pieces.
+    answers_twice,
+    answers_twice_cut,
+    answers_twice_in_pieces,
 };
 
 /// A simulated backend server that announces itself to control under the address of a
@@ -51,7 +56,7 @@
         std::uint64_t seed);
     ~soak_server();
 
-    void set_fault(server_fault it) { fault_ = it; }
+    void set_fault(server_fault it);
     /// Announces the departure; the server stops a few seconds after the acknowledgement.
     void leave() { leaving_ = true; }
     /// Stops at once, without announcing a departure.
@@ -64,6 +69,7 @@
     void serve(const http::request& it, const std::shared_ptr<http::exchange>& to);
     void finish(
         const std::string& request,
+        const std::string& signature,
         const std::shared_ptr<http::exchange>& to,
         bool fails);
     void announce();
@@ -83,6 +89,7 @@
     std::atomic<bool> crashed_{false};
     std::atomic<int> in_flight_{0};
     std::uint64_t sequence_ = 0;
+    std::atomic<std::uint64_t> last_run_{0};
     absl::Mutex mutex_;
     core::random_source random_ ABSL_GUARDED_BY(mutex_);
     std::thread announcer_;
