--- a/src/http/response_head.cpp
+++ b/src/http/response_head.cpp
@@ -54,13 +54,6 @@
     return out >= 100 ? out : 0;
 }
 
-bool is_framing_field(std::string_view name)
-{
-    const absl::string_view it(name.data(), name.size());
-    return absl::EqualsIgnoreCase(it, "Content-Length") ||
-           absl::EqualsIgnoreCase(it, "Transfer-Encoding");
-}
-
 } // namespace
 
 mismatch response_head::add(std::string_view line)
@@ -85,15 +78,20 @@
     return add_field(line);
 }
 
-/// Whether a status line could begin inside the line.
+/// Whether a status line could begin inside the line, also one that isn't proper.
 bool response_head::begins_later(std::string_view line) const
 {
     if (is_first_response_) {
         return false;
     }
-    for (auto at = line.find("HTTP/", 1); at != std::string_view::npos;
-         at = line.find("HTTP/", at + 1)) {
-        if (read_status(line.substr(at)) != 0) {
+    const std::string text =
+        absl::AsciiStrToLower(absl::string_view(line.data(), line.size()));
+    for (auto at = text.find("http", 1); at != std::string::npos;
+         at = text.find("http", at + 1)) {
+        const auto version_end = text.find_first_not_of("/.0123456789", at + 4);
+        const auto status = text.find_first_not_of(" \t", version_end);
+        if (status != std::string::npos && status > version_end &&
+            is_digit(text[status])) {
             return true;
         }
     }
@@ -126,24 +124,30 @@
     std::string value(line.substr(colon + 1));
     absl::StripAsciiWhitespace(&value);
     const auto name = line.substr(0, colon);
-    const bool is_length = absl::EqualsIgnoreCase(
-        absl::string_view(name.data(), name.size()), "Content-Length");
-    if (is_length &&
-        (value.empty() || !std::all_of(value.begin(), value.end(), is_digit))) {
+    const absl::string_view key(name.data(), name.size());
+    const bool is_number =
+        !value.empty() && std::all_of(value.begin(), value.end(), is_digit);
+    if (absl::EqualsIgnoreCase(key, "Content-Length") &&
+        (!is_number ||
+         (fields_.has("Content-Length") && fields_.get("Content-Length") != value))) {
+        return mismatch::framing;
+    }
+    // libcurl passes other codings on as they are, and doesn't notice where they end.
+    if (absl::EqualsIgnoreCase(key, "Transfer-Encoding") &&
+        !absl::EqualsIgnoreCase(value, "chunked")) {
         return mismatch::framing;
     }
     fields_.add(std::string(name), std::move(value));
     return mismatch::none;
 }
 
-/// One field may give the length of the body, once.
+/// Either the length or the coding may give the end of the body.
 mismatch response_head::check_framing() const
 {
-    const auto n = std::count_if(
-        fields_.fields().begin(), fields_.fields().end(), [](const auto& it) {
-            return is_framing_field(it.first);
-        });
-    return n > 1 ? mismatch::framing : mismatch::none;
+    const auto codings = fields_.count("Transfer-Encoding");
+    const bool is_ambiguous =
+        codings > 1 || (codings > 0 && fields_.has("Content-Length"));
+    return is_ambiguous ? mismatch::framing : mismatch::none;
 }
 
 } // namespace cuminpitch::http
--- a/src/http/response_head_priv.hpp
+++ b/src/http/response_head_priv.hpp
@@ -10,9 +10,9 @@
 
 namespace cuminpitch::http {
 
-/// Reads the head of a response line by line and accepts or rejects it as a whole (RFC
-/// 9112, sections 4 and 5). Stricter than libcurl, which takes the rest of one message
-/// and the begin of another for one head.
+/// Reads the head of a response line by line and accepts or rejects it as a whole.
+/// Stricter than RFC 9112, sections 4 to 6, which allows a recipient to repair some
+/// heads, and than libcurl, which takes parts of two messages for one head.
 class response_head
 {
 public:
