Accept refusals of other entries on kept connections

An entry writes one answer to each request, so only servers may answer twice, and only their responses need the id. A hop, too, is repeated on a new connection after a rejected response.

A request without the id that the platform's servers repeat now uses a new connection: its response can't be told from a late one. client.refusal_without_id_is_accepted_from_a_peer_that_answers_once passes; it wasn't run without the change, as it sets the new field.

--- a/include/cuminpitch/http/client.hpp
+++ b/include/cuminpitch/http/client.hpp
@@ -42,10 +42,14 @@
     /// response can't be told from the response to the next request unless it repeats
     /// `header`, so a connection isn't reused after one that doesn't.
     std::string refusal_header;
-
-    /// Why a response with this status and these headers can't belong to the request. On
-    /// a new connection, a response without the header is accepted unless its status is
-    /// 2xx: a server that read only a part of the request may have refused it.
+    /// The peer may answer twice, so a response without `header` is only accepted on a
+    /// new connection. Entries don't, and their refusals have no id.
+    bool may_answer_twice = false;
+
+    /// Why a response with this status and these headers can't belong to the request. A
+    /// response without the header is accepted unless its status is 2xx or it may belong
+    /// to an earlier request: a server that read only a part of the request may have
+    /// refused it.
     mismatch
     check(int status, const headers& fields, bool is_first_response = true) const;
     /// True if a copy of this response could be taken for the response to another
@@ -87,7 +91,9 @@
     /// Bytes that had arrived on another kept connection before this request, which was
     /// closed and not used. Counted up to a limit of a few hundred.
     std::uint32_t waiting_bytes = 0;
-    /// More bytes arrived together with the end of the response.
+    /// More bytes arrived together with the end of the response, or the response before
+    /// the request was sent completely. Bytes behind a response without a body aren't
+    /// noticed.
     bool has_surplus = false;
 };
 
--- a/src/http/expected_response.cpp
+++ b/src/http/expected_response.cpp
@@ -21,7 +21,8 @@
         return mismatch::none;
     }
     const auto ids = fields.count(header);
-    if (ids > 0 ? fields.get(header) != value : is_success || !is_first_response) {
+    const bool needs_id = is_success || (may_answer_twice && !is_first_response);
+    if (ids > 0 ? fields.get(header) != value : needs_id) {
         return mismatch::other_request;
     }
     return ids > 1 ? mismatch::repeated_field : mismatch::none;
--- a/src/request/dispatcher_attempts.cpp
+++ b/src/request/dispatcher_attempts.cpp
@@ -62,6 +62,14 @@
     return path_result::answered;
 }
 
+/// On a new connection nothing of an earlier response can stand before the response.
+void note_rejected_response(live_request& it, const http::client_result& result)
+{
+    if (result.failure == http::failure::malformed_response && result.reused_connection) {
+        it.needs_new_connection = true;
+    }
+}
+
 } // namespace
 
 bool dispatcher::impl::lacks_time(const live_request& it, const pool_state& pool) const
@@ -267,9 +275,7 @@
             std::move(connection));
         return;
     }
-    it.needs_new_connection = it.needs_new_connection ||
-                              (outcome.failure == refusal_reason::malformed_response &&
-                               result.reused_connection);
+    note_rejected_response(it, result);
     it.may_have_run = it.may_have_run || outcome.verdict != core::verdict::not_run;
     if (outcome.failure) {
         it.last_failure = outcome.failure;
@@ -439,6 +445,7 @@
         inputs.push_back(std::move(field));
     }
     explain_decision(it, "hop failed", std::move(inputs));
+    note_rejected_response(it, result);
     it.may_have_run = it.may_have_run || is_sent;
     it.last_failure = outcome.failure;
     const bool is_final = is_response && !it.may_have_run &&
--- a/src/request/live_request_priv.hpp
+++ b/src/request/live_request_priv.hpp
@@ -57,8 +57,7 @@
     /// Limit on `sends` by the entry that forwarded the request.
     std::optional<std::uint32_t> max_sends;
     std::vector<core::instance_id> tried_entries;
-    /// A response on a kept connection was rejected. On a new one, nothing of an earlier
-    /// response can stand before the response.
+    /// A response on a kept connection was rejected.
     bool needs_new_connection = false;
     /// An earlier attempt may have been executed. Never reset.
     bool may_have_run = false;
--- a/src/request/messages.cpp
+++ b/src/request/messages.cpp
@@ -56,11 +56,15 @@
     outgoing_request out = base_request(it, remaining);
     out.to = server.at;
     out.accepts_close_delimited = names.accepts_close_delimited;
+    // Without its id, the response can't be told from one to an earlier request.
+    const bool lacks_id = !names.correlation.empty() && it.correlation.empty();
+    out.fresh_connection = out.fresh_connection || lacks_id;
     set_deadline(out.headers, remaining, names);
     if (!names.target_server.empty()) {
         out.headers.set(names.target_server, server.id.str());
     }
     out.expected = expected_from_server(names, it.correlation);
+    out.expected.may_answer_twice = true;
     if (it.pool->every_entry) {
         out.connect_timeout = shared_pool_connect_timeout;
     }
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -151,6 +151,27 @@
     }
 }
 
+// Guards against rejecting the refusal of another entry, which has no id, on a kept
+// connection, and against accepting that of a server that may answer twice.
+TEST(client, refusal_without_id_is_accepted_from_a_peer_that_answers_once)
+{
+    raw_server server([](unsigned, const std::string&) {
+        return raw_server::reply{"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"};
+    });
+    for (const bool may_answer_twice : {false, true}) {
+        const auto it = client::create();
+        auto request = request_to(server.at(), "GET");
+        request.expected.header = "C";
+        request.expected.value = "id";
+        request.expected.may_answer_twice = may_answer_twice;
+        EXPECT_EQ(run(*it, request).response.status, 503);
+        const auto out = run(*it, request);
+        EXPECT_TRUE(out.reused_connection);
+        EXPECT_EQ(
+            out.failure, may_answer_twice ? failure::malformed_response : failure::none);
+    }
+}
+
 // Guards against the same for a second response in the segment of the first.
 TEST(client, tells_that_bytes_followed_the_response)
 {
