Tell apart the connection that was used and the one that was not

If the restart on a new connection fails, the log described the connection that was closed, and lost the number of bytes.

--- a/src/http/attempt.cpp
+++ b/src/http/attempt.cpp
@@ -190,7 +190,6 @@
     auto* it = is_new_connection_
                    ? &connections_.add(request_.to, local_port, opened_socket_)
                    : connections_.find(request_.to, local_port);
-    use_.waiting_bytes = discarded_bytes_;
     if (it == nullptr) {
         return true;
     }
@@ -382,6 +381,10 @@
     out.mismatch = mismatch_;
     out.excerpt = std::move(excerpt_);
     out.connection = use_;
+    if (sends_ == 0) {
+        out.connection = {};
+    }
+    out.connection.waiting_bytes = discarded_bytes_;
     if (auto* it = connections_.find(request_.to, local_port_)) {
         it->last_response = absl::Now();
     }
--- a/src/http/attempt_priv.hpp
+++ b/src/http/attempt_priv.hpp
@@ -66,8 +66,9 @@
     void finish_head();
     /// Rejects the response. Only the first reason is kept.
     void reject(mismatch why, std::string_view line);
-    /// True if libcurl closed the connection though the response lets it be kept, which
-    /// it does if it has read bytes beyond the end of the response.
+    /// True if libcurl closed the connection though the response lets it be kept. It does
+    /// so if it has read bytes beyond the end of a body, or if the response came before
+    /// the request was sent completely.
     bool has_surplus() const;
     http::failure failure_of(CURLcode code);
     http::failure check_framing();
