--- a/tests/request/kept_connection_test.cpp
+++ b/tests/request/kept_connection_test.cpp
@@ -88,6 +88,7 @@
     {
         constexpr int callers = 4;
         std::vector<std::thread> all;
+        all.reserve(callers);
         for (int i = 0; i < callers; ++i) {
             all.emplace_back([&entry, i] { call(entry.at().port, i); });
         }
