--- a/tests/request/cut_answer_test.cpp
+++ b/tests/request/cut_answer_test.cpp
@@ -20,19 +20,6 @@
     bool ends_with_connection = false;
 };
 
-dispatcher_options platform_options()
-{
-    dispatcher_options out;
-    out.dialect.not_run = "N";
-    out.dialect.not_run_value = "";
-    out.dialect.correlation = "C";
-    out.dialect.success_header = "P";
-    out.dialect.unavailable_means_not_run = true;
-    out.dialect.accepts_close_delimited = true;
-    out.dialect.terse_refusals = true;
-    return out;
-}
-
 pool_update shared_pool(const config::declarations& declared)
 {
     pool_update out;
--- a/tests/request/late_answer_test.cpp
+++ b/tests/request/late_answer_test.cpp
@@ -12,17 +12,10 @@
 
 using http::raw_server;
 
-dispatcher_options platform_options()
+dispatcher_options options_with_target()
 {
-    dispatcher_options out;
-    out.dialect.not_run = "N";
-    out.dialect.not_run_value = "";
+    auto out = platform_options();
     out.dialect.target_server = "T";
-    out.dialect.correlation = "C";
-    out.dialect.success_header = "P";
-    out.dialect.unavailable_means_not_run = true;
-    out.dialect.accepts_close_delimited = true;
-    out.dialect.terse_refusals = true;
     return out;
 }
 
@@ -134,19 +127,19 @@
 // a piece of the answer to another request.
 TEST_P(late_answers, never_become_part_of_the_next_one)
 {
-    const live_entry entry(servers.pool(), platform_options(), servers.declared);
+    const live_entry entry(servers.pool(), options_with_target(), servers.declared);
     servers.expect_own_answers(entry, 1, servers.length());
 }
 
 // Guards against the same in the answer that another entry passes on.
 TEST_P(late_answers, never_become_part_of_the_next_one_by_way_of_another_entry)
 {
-    const live_entry serving(servers.pool(), platform_options(), servers.declared);
+    const live_entry serving(servers.pool(), options_with_target(), servers.declared);
     auto remote = servers.pool();
     remote.is_assigned = false;
     remote.servers.clear();
     remote.entries = {{core::instance_id("e"), serving.at(), true}};
-    const live_entry forwarding(remote, platform_options(), servers.declared);
+    const live_entry forwarding(remote, options_with_target(), servers.declared);
     servers.expect_own_answers(forwarding, 1, servers.length());
 }
 
--- a/tests/request/live_entry.hpp
+++ b/tests/request/live_entry.hpp
@@ -10,6 +10,20 @@
 
 namespace cuminpitch::request {
 
+/// Like the dialect of the users' platform, with shorter names.
+inline dispatcher_options platform_options()
+{
+    dispatcher_options out;
+    out.dialect.not_run = "N";
+    out.dialect.not_run_value = "";
+    out.dialect.correlation = "C";
+    out.dialect.success_header = "P";
+    out.dialect.unavailable_means_not_run = true;
+    out.dialect.accepts_close_delimited = true;
+    out.dialect.terse_refusals = true;
+    return out;
+}
+
 /// An entry: a dispatcher whose actions are carried out by the HTTP server and client.
 class live_entry
 {
--- a/tests/request/live_pair.hpp
+++ b/tests/request/live_pair.hpp
@@ -236,19 +236,6 @@
         [this](unsigned, const std::string& request) { return reply_to(request); }};
 };
 
-inline dispatcher_options platform_options()
-{
-    dispatcher_options out;
-    out.dialect.not_run = "N";
-    out.dialect.not_run_value = "";
-    out.dialect.correlation = "C";
-    out.dialect.success_header = "P";
-    out.dialect.unavailable_means_not_run = true;
-    out.dialect.accepts_close_delimited = true;
-    out.dialect.terse_refusals = true;
-    return out;
-}
-
 inline std::shared_ptr<config::declarations> shared_declarations()
 {
     auto out = two_teams();
