--- a/include/cuminpitch/config/declarations.hpp
+++ b/include/cuminpitch/config/declarations.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cuminpitch/core/ids.hpp"
+#include "cuminpitch/core/request_rate.hpp"
 
 #include <absl/container/btree_map.h>
 #include <absl/time/time.h>
@@ -89,10 +90,32 @@
     std::optional<absl::Duration> target_latency;
     /// `priority`; 0 is the highest and is served first under overload.
     std::uint32_t priority = 0;
+    /// `public`; served without a key where the team requires keys.
+    bool is_public = false;
+    /// `large_responses`; responses are large, so the bytes held for them are limited.
+    bool has_large_responses = false;
 
     friend bool operator==(const route_settings&, const route_settings&) = default;
 };
 
+/// Settings of one customer, from teams/<team>/customers/<customer>/<setting>.
+struct customer_settings
+{
+    core::customer_id id;
+    /// `name`, which servers get; the name of the id by default.
+    std::string name;
+    /// `keys` that identify the customer. Never logged.
+    std::vector<std::string> keys;
+    /// `priority`, used instead of the route's if set.
+    std::optional<std::uint32_t> priority;
+    /// `rate_per_s` and `burst`: requests that all entries together serve. No limit if
+    /// not set.
+    std::optional<core::request_rate> rate;
+    double burst = 0;
+
+    friend bool operator==(const customer_settings&, const customer_settings&) = default;
+};
+
 /// A target latency that exceeds the deadline by this much is refused as a mistake.
 constexpr absl::Duration target_latency_excess = absl::Minutes(1);
 
@@ -106,6 +129,9 @@
     absl::Duration header_timeout = absl::Seconds(10);
     /// Time after which an idle keep-alive connection is closed (`idle_timeout_ms`).
     absl::Duration idle_timeout = absl::Seconds(60);
+    /// Requests need the key of a customer, unless their route is public
+    /// (`requires_key`).
+    bool requires_key = false;
 
     friend bool operator==(const caller_limits&, const caller_limits&) = default;
 };
@@ -116,6 +142,7 @@
     absl::btree_map<core::pool_id, pool_settings> pools;
     absl::btree_map<core::route_id, route_settings> routes;
     absl::btree_map<core::team_id, caller_limits> limits;
+    absl::btree_map<core::customer_id, customer_settings> customers;
 
     friend bool operator==(const declarations&, const declarations&) = default;
 };
--- a/include/cuminpitch/core/ids.hpp
+++ b/include/cuminpitch/core/ids.hpp
@@ -100,5 +100,6 @@
 
 using pool_id = team_scoped_id<struct pool_tag>;
 using route_id = team_scoped_id<struct route_tag>;
+using customer_id = team_scoped_id<struct customer_tag>;
 
 } // namespace cuminpitch::core
--- a/include/cuminpitch/request/dialect.hpp
+++ b/include/cuminpitch/request/dialect.hpp
@@ -22,6 +22,13 @@
     std::string max_rate = "Cuminpitch-Max-Rate";
     /// Response header with the value 1 by which a server states that it is leaving.
     std::string leaving = "Cuminpitch-Leaving";
+    /// Request header with the key of the customer, after `key_scheme` and a space. Never
+    /// sent to servers where keys are required.
+    std::string key_header = "Authorization";
+    std::string key_scheme = "Bearer";
+    /// Request header that tells servers the name of the customer, where keys are
+    /// required. What a caller sends in it is dropped there.
+    std::string customer_header = "Cuminpitch-Customer";
     /// Request header that names the intended server. Any other server answers with
     /// `misdirected_status` and doesn't run the request. Not sent if empty.
     std::string target_server;
--- a/include/cuminpitch/request/events.hpp
+++ b/include/cuminpitch/request/events.hpp
@@ -137,11 +137,28 @@
     request_id id;
 };
 
+/// Answers request_allowance.
+struct allowance_decided
+{
+    enum class outcome
+    {
+        granted,
+        over_allowance,
+        unknown, ///< No entry that grants permits has responded.
+    };
+
+    request_id id;
+    outcome what = outcome::granted;
+    /// Expected time until there is a permit, unless granted.
+    absl::Duration retry_after;
+};
+
 struct tick
 {
 };
 
-using event = std::variant<request_received, attempt_finished, caller_gone, tick>;
+using event = std::
+    variant<request_received, attempt_finished, caller_gone, allowance_decided, tick>;
 
 /// A request to a server or another entry, the input of make_client_request().
 struct outgoing_request
@@ -200,6 +217,14 @@
     std::uint32_t count = 0;
 };
 
+/// The request waits for a permit of its customer's allowance. Answered by
+/// allowance_decided.
+struct request_allowance
+{
+    request_id request;
+    core::customer_id customer;
+};
+
 /// What an attempt has shown about the network path to its server.
 enum class path_result
 {
@@ -263,6 +288,7 @@
     refuse,
     cancel_attempt,
     want_permits,
+    request_allowance,
     observe,
     explain>;
 
--- a/include/cuminpitch/request/refusal_reason.hpp
+++ b/include/cuminpitch/request/refusal_reason.hpp
@@ -9,6 +9,11 @@
 {
     no_route,
     malformed_request,
+    unknown_key,    ///< The request has no key, or one that no customer has.
+    key_unverified, ///< The key may be newer or older than what the entry knows.
+    over_allowance, ///< The customer has used its rate and burst.
+    /// No entry that grants permits of the customer's allowance has responded.
+    allowance_unknown,
     request_too_large,
     no_revision,     ///< The entry has no configuration yet.
     isolated,        ///< The entry has no contact with its peers or control.
@@ -43,6 +48,10 @@
 inline constexpr std::array all_refusal_reasons = {
     refusal_reason::no_route,
     refusal_reason::malformed_request,
+    refusal_reason::unknown_key,
+    refusal_reason::key_unverified,
+    refusal_reason::over_allowance,
+    refusal_reason::allowance_unknown,
     refusal_reason::request_too_large,
     refusal_reason::no_revision,
     refusal_reason::isolated,
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -295,6 +295,11 @@
     }
 }
 
+void node::impl::run(request::request_allowance& wanted)
+{
+    dispatch(request::allowance_decided{wanted.request});
+}
+
 void node::impl::run(const core::pool_id&, health::send_heartbeat& heartbeat)
 {
     if (const auto to = view_->entries.find(heartbeat.to); to != view_->entries.end()) {
--- a/src/entry/node_impl_priv.hpp
+++ b/src/entry/node_impl_priv.hpp
@@ -144,6 +144,7 @@
     {
         limits_.want(now_, wanted.pool, wanted.server, wanted.count);
     }
+    void run(request::request_allowance& wanted);
     void run(request::observe& observed);
     void run(request::explain& explanation);
     void run(const core::pool_id& pool, health::send_heartbeat& heartbeat);
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -368,6 +368,8 @@
     }
 }
 
+void dispatcher::impl::on(const allowance_decided& /*it*/) {}
+
 void dispatcher::impl::on(const tick& /*it*/)
 {
     for (const auto& id : rate_limited_pools_) {
--- a/src/request/dispatcher_impl_priv.hpp
+++ b/src/request/dispatcher_impl_priv.hpp
@@ -50,6 +50,7 @@
     void on(request_received it);
     void on(attempt_finished it);
     void on(const caller_gone& it);
+    void on(const allowance_decided& it);
     void on(const tick& it);
 
     std::optional<refusal_reason> apply_filters(live_request& it) const;
--- a/src/request/live_request_priv.hpp
+++ b/src/request/live_request_priv.hpp
@@ -17,6 +17,7 @@
     enum class phase
     {
         arriving,
+        awaiting_permit, ///< Waits for a permit of its customer's allowance.
         queued,
         sent,      ///< Sent to a backend server.
         forwarded, ///< Forwarded to another entry.
@@ -30,6 +31,8 @@
     std::shared_ptr<const route_table> routes;
     const config::route_settings* route = nullptr;
     const config::pool_settings* pool = nullptr;
+    /// Null if the request has no key. Kept alive by `routes`.
+    const config::customer_settings* customer = nullptr;
     absl::Time received;
     absl::Time deadline;
     bool is_from_entry = false;
@@ -71,6 +74,12 @@
     /// A server that wants no requests was left out, which has been logged.
     bool is_closed_explained = false;
 
+    /// 0 is the highest.
+    std::uint32_t rank() const
+    {
+        return customer != nullptr && customer->priority ? *customer->priority
+                                                         : route->priority;
+    }
     bool is_retry() const { return !tried.empty() || !tried_entries.empty(); }
 };
 
--- a/src/request/refusal_reason.cpp
+++ b/src/request/refusal_reason.cpp
@@ -11,8 +11,10 @@
 };
 
 constexpr int bad_request = 400;
+constexpr int unauthorized = 401;
 constexpr int not_found = 404;
 constexpr int content_too_large = 413;
+constexpr int too_many_requests = 429;
 constexpr int bad_gateway = 502;
 constexpr int unavailable = 503;
 constexpr int gateway_timeout = 504;
@@ -24,6 +26,14 @@
         return {"no-route", not_found, retry_class::never};
     case refusal_reason::malformed_request:
         return {"malformed-request", bad_request, retry_class::never};
+    case refusal_reason::unknown_key:
+        return {"unknown-key", unauthorized, retry_class::never};
+    case refusal_reason::key_unverified:
+        return {"key-unverified", unavailable, retry_class::other_entry};
+    case refusal_reason::over_allowance:
+        return {"over-allowance", too_many_requests, retry_class::later};
+    case refusal_reason::allowance_unknown:
+        return {"allowance-unknown", unavailable, retry_class::other_entry};
     case refusal_reason::request_too_large:
         return {"request-too-large", content_too_large, retry_class::never};
     case refusal_reason::no_revision:
