Share token bucket, held permits and owners between kinds of permits

The permits of customers' rates need the same parts as those of servers' limits. Moves the token bucket out of permit_ledger, the permits of an entry and their expiry out of rate_limits, and the choice of the owners into a file of its own. Behaviour is unchanged; the tests of rate limits and of the ledger pass as before.

--- a/src/entry/permit_ledger.cpp
+++ b/src/entry/permit_ledger.cpp
@@ -17,22 +17,9 @@
 
 } // namespace
 
-double permit_ledger::capacity() const
-{
-    return std::max(1.0, rate_.requests_in(batch_time));
-}
-
-void permit_ledger::refill(absl::Time now)
-{
-    permits_ = std::min(capacity(), permits_ + rate_.requests_in(now - updated_));
-    updated_ = now;
-}
-
 void permit_ledger::set_rate(absl::Time now, core::request_rate rate)
 {
-    refill(now);
-    rate_ = rate;
-    permits_ = std::min(capacity(), permits_);
+    bucket_.set_rate(now, rate, std::max(1.0, rate.requests_in(batch_time)));
 }
 
 void permit_ledger::add(absl::Time now, const request& it)
@@ -47,16 +34,16 @@
 
 std::vector<permit_ledger::grant> permit_ledger::take_grants(absl::Time now)
 {
-    refill(now);
+    bucket_.refill(now);
     std::erase_if(waiting_, [&](const waiting_request& it) { return it.expires <= now; });
     std::vector<grant> out;
-    while (permits_ >= 1 && !waiting_.empty()) {
-        const auto share = capacity() / static_cast<double>(waiting_.size());
-        const auto most = std::min(permits_, std::max(1.0, std::floor(share)));
+    while (bucket_.tokens() >= 1 && !waiting_.empty()) {
+        const auto share = bucket_.capacity() / static_cast<double>(waiting_.size());
+        const auto most = std::min(bucket_.tokens(), std::max(1.0, std::floor(share)));
         auto& chosen = choose();
         const auto count = std::min(chosen.what.wanted, static_cast<std::uint32_t>(most));
         out.push_back({chosen.what.from, chosen.what.sent, now - chosen.received, count});
-        permits_ -= count;
+        bucket_.take(count);
         std::swap(chosen, waiting_.back());
         waiting_.pop_back();
     }
@@ -81,8 +68,8 @@
 
 absl::Duration permit_ledger::expected_wait() const
 {
-    const double missing = static_cast<double>(waiting_.size()) - permits_;
-    return absl::Seconds(std::max(0.0, missing) / rate_.per_second());
+    const double missing = static_cast<double>(waiting_.size()) - bucket_.tokens();
+    return absl::Seconds(std::max(0.0, missing) / bucket_.rate().per_second());
 }
 
 absl::Duration permit_ledger::repeat_after() const
--- a/src/entry/permit_ledger_priv.hpp
+++ b/src/entry/permit_ledger_priv.hpp
@@ -3,6 +3,7 @@
 #include "cuminpitch/core/endpoint.hpp"
 #include "cuminpitch/core/random.hpp"
 #include "cuminpitch/core/request_rate.hpp"
+#include "entry/token_bucket_priv.hpp"
 
 #include <absl/time/time.h>
 
@@ -20,7 +21,7 @@
 {
 public:
     permit_ledger(absl::Time now, core::random_source random)
-        : updated_(now), random_(random)
+        : bucket_(now, 0), random_(random)
     {
     }
 
@@ -63,12 +64,8 @@
     /// A random request, weighted by the number of permits that it wants. There must be
     /// one.
     waiting_request& choose();
-    double capacity() const;
-    void refill(absl::Time now);
 
-    core::request_rate rate_;
-    double permits_ = 0;
-    absl::Time updated_;
+    token_bucket bucket_;
     std::vector<waiting_request> waiting_;
     core::random_source random_;
 };
--- a/src/entry/rate_limits.cpp
+++ b/src/entry/rate_limits.cpp
@@ -76,7 +76,7 @@
 
 std::vector<control::entry_record> rate_limits::owners(const server_key& server) const
 {
-    return permit_owners(server.second, members(server.first));
+    return permit_owners(server.second.str(), members(server.first));
 }
 
 core::request_rate rate_limits::allowed_rate(absl::Time now, const record& it) const
@@ -208,9 +208,10 @@
     }
     auto& it = found->second;
     refill_own(now, found->first, it);
-    if (it.permits > 0 && now < it.permits_expire) {
-        --it.permits;
-    } else if (it.own_permits >= 1) {
+    if (it.permits.take(now)) {
+        return;
+    }
+    if (it.own_permits >= 1) {
         it.own_permits -= 1;
     } else {
         metrics_.add("cuminpitch_sent_without_permit_total", {{"pool", pool.str()}});
@@ -350,13 +351,7 @@
     const auto expire = response.echo + response.held + permit_validity;
     const auto paid = std::min(it.debt, response.granted);
     it.debt -= paid;
-    if (now >= it.permits_expire) {
-        it.permits = 0;
-    }
-    if (now < expire) {
-        it.permits_expire = it.permits > 0 ? std::min(it.permits_expire, expire) : expire;
-        it.permits += response.granted - paid;
-    }
+    it.permits.add(now, response.granted - paid, expire);
     it.wanted = 0;
     it.next_request = now;
     it.next_permit = now;
@@ -393,12 +388,9 @@
     if (now - it.last_want >= permit_validity) {
         it.wanted = 0;
     }
-    if (it.permits > 0 && now >= it.permits_expire) {
+    if (const auto expired = it.permits.remove_expired(now); expired > 0) {
         metrics_.add(
-            "cuminpitch_permits_expired_total",
-            {{"pool", server.first.str()}},
-            it.permits);
-        it.permits = 0;
+            "cuminpitch_permits_expired_total", {{"pool", server.first.str()}}, expired);
         changed_.insert(server.first);
     }
     const bool had_own = it.own_permits >= 1;
@@ -483,8 +475,8 @@
             limit.permits_expire = absl::InfiniteFuture();
             limit.granted_by = "own-share";
         } else {
-            limit.permits = now < known.permits_expire ? known.permits : 0;
-            limit.permits_expire = known.permits_expire;
+            limit.permits = known.permits.count(now);
+            limit.permits_expire = known.permits.expire();
             const auto all = owners(it->first);
             limit.granted_by = known.owner < all.size() ? all[known.owner].id.str() : "";
         }
--- a/src/entry/rate_limits_owner.cpp
+++ b/src/entry/rate_limits_owner.cpp
@@ -1,13 +1,10 @@
 #include "entry/rate_limits_priv.hpp"
 
-#include "cuminpitch/core/hash.hpp"
-
 #include <algorithm>
 
 namespace cuminpitch::entry {
 namespace {
 
-constexpr std::size_t max_owners = 3;
 /// Part of the rate that an owner grants while the one before it doesn't respond to it.
 /// The other may still grant for entries that reach it: together the three grant at most
 /// one and a half times the rate.
@@ -18,30 +15,6 @@
 
 } // namespace
 
-std::vector<control::entry_record> permit_owners(
-    const core::server_id& server, const std::vector<control::entry_record>& members)
-{
-    const auto seed = core::hash64(server.str());
-    std::vector<std::pair<std::uint64_t, const control::entry_record*>> ranked;
-    ranked.reserve(members.size());
-    for (const auto& it : members) {
-        ranked.emplace_back(core::hash64(it.id.str(), seed), &it);
-    }
-    const auto n = std::min(max_owners, ranked.size());
-    std::partial_sort(
-        ranked.begin(),
-        ranked.begin() + static_cast<std::ptrdiff_t>(n),
-        ranked.end(),
-        [](const auto& a, const auto& b) {
-            return std::pair(a.first, a.second->id) < std::pair(b.first, b.second->id);
-        });
-    std::vector<control::entry_record> out;
-    for (std::size_t i = 0; i < n; ++i) {
-        out.push_back(*ranked[i].second);
-    }
-    return out;
-}
-
 void rate_limits::grant(
     absl::Time now, const core::endpoint& from, const control::permit_request& request)
 {
--- a/src/entry/rate_limits_priv.hpp
+++ b/src/entry/rate_limits_priv.hpp
@@ -7,8 +7,10 @@
 #include "cuminpitch/entry/events.hpp"
 #include "cuminpitch/request/events.hpp"
 #include "cuminpitch/telemetry/metrics.hpp"
+#include "entry/held_permits_priv.hpp"
 #include "entry/listed_servers_priv.hpp"
 #include "entry/permit_ledger_priv.hpp"
+#include "entry/permit_owners_priv.hpp"
 
 #include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
@@ -20,11 +22,6 @@
 
 namespace cuminpitch::entry {
 
-/// Order in which the members grant permits for the server: the first one does, and the
-/// others replace it in turn. Equal at all entries with the same members.
-std::vector<control::entry_record> permit_owners(
-    const core::server_id& server, const std::vector<control::entry_record>& members);
-
 /// Keeps the rate limits that backend servers name for all entries together.
 ///
 /// For each server, one entry of its pool is the owner of its limit (permit_owners()). It
@@ -107,8 +104,7 @@
         /// Time of the response that named the limit, or of the first one that didn't.
         absl::Time stated;
 
-        std::uint32_t permits = 0;
-        absl::Time permits_expire = absl::InfinitePast();
+        held_permits permits;
         /// Attempts that were sent without a permit.
         std::uint32_t debt = 0;
         std::uint32_t wanted = 0;
--- a/tests/entry/rate_limits_test.cpp
+++ b/tests/entry/rate_limits_test.cpp
@@ -94,7 +94,7 @@
     void become(std::size_t position)
     {
         const std::vector<control::entry_record> all = {record(1), record(2), record(3)};
-        owners = permit_owners(server_s, all);
+        owners = permit_owners(server_s.str(), all);
         self = std::make_unique<rate_limits>(
             owners[position], core::random_source(1), metrics);
         self->set_entries(all);
@@ -311,7 +311,7 @@
     for (int n = 1; n <= 30; ++n) {
         all.push_back(record(n));
     }
-    const auto three = permit_owners(server_s, all);
+    const auto three = permit_owners(server_s.str(), all);
     const auto other = std::find_if(all.begin(), all.end(), [&](const auto& it) {
         return std::find(three.begin(), three.end(), it) == three.end();
     });
