Identify customers by keys and keep their rates over all entries

Callers of two deployments carry keys of customers. The fleet knew no customers: keys reached the servers, requests ran under unknown keys, and rates were exceeded. A configuration with routes for large responses was refused as a whole.

Customers are declared with keys, priority, rate and burst below their team. A filter identifies the customer of each request, also after a hop; servers get its name and never the key. Permits of a rate are granted by an owner, chosen by hashing, to the entries that ask for them, as for the rate limits of servers. Routes may declare large responses, which are idempotent.

--- a/include/cuminpitch/config/loader.hpp
+++ b/include/cuminpitch/config/loader.hpp
@@ -15,8 +15,9 @@
 };
 
 /// Reads teams/<team>/pools/<pool>.json, teams/<team>/routes/<route>.json and
-/// teams/<team>/limits/callers.json below the folder. Ignores hidden files next to
-/// teams/; reports anything else that is not a declaration as a problem.
+/// teams/<team>/customers/<customer>.json and teams/<team>/limits/callers.json below the
+/// folder. Ignores hidden files next to teams/; reports anything else that is not a
+/// declaration as a problem.
 loaded_folder load_folder(const std::filesystem::path& folder);
 
 /// Calls load_folder() and compile(), and returns the problems of both together.
--- a/include/cuminpitch/control/sync.hpp
+++ b/include/cuminpitch/control/sync.hpp
@@ -126,13 +126,15 @@
     friend bool operator==(const rate_state&, const rate_state&) = default;
 };
 
-/// Sent by an entry to the one that grants permits for a server. A permit allows one
-/// request to a server with a rate limit.
+/// Sent by an entry to the one that grants permits for a server or a customer. A permit
+/// allows one request to a server with a rate limit, or one of a customer with a rate.
 struct permit_request
 {
     rate_state known;
     std::uint32_t wanted = 0; ///< If 0, the sender only reports `known`.
     absl::Time sent;          ///< On the sender's clock; the response returns it.
+    /// Set for the permits of a customer. `known` says nothing then.
+    std::optional<core::customer_id> customer = std::nullopt;
 
     friend bool operator==(const permit_request&, const permit_request&) = default;
 };
@@ -151,6 +153,7 @@
     std::uint32_t requesters = 0; ///< Number of entries that want permits.
     /// The sender grants none, because the entry before it in the order of owners does.
     bool is_redirect = false;
+    std::optional<core::customer_id> customer = std::nullopt; ///< As in the request.
 
     friend bool operator==(const permit_response&, const permit_response&) = default;
 };
--- a/include/cuminpitch/core/process_settings.hpp
+++ b/include/cuminpitch/core/process_settings.hpp
@@ -73,6 +73,9 @@
     /// `--stop-grace`: maximum time from the stop signal to the end of the process. New
     /// requests are accepted during the first half.
     std::optional<absl::Duration> stop_grace;
+    /// `--max-key-age`: time for which keys of customers are valid after control has last
+    /// confirmed the state of the entry. Unlimited if not set.
+    std::optional<absl::Duration> max_key_age;
     std::vector<endpoint> peers; ///< `--peers`, internal endpoints of some other
                                  ///< entries; may be empty.
     /// `--memory-mb`: memory that the process may use, in MB. Limits the bodies that it
--- a/include/cuminpitch/entry/node.hpp
+++ b/include/cuminpitch/entry/node.hpp
@@ -59,6 +59,9 @@
     std::optional<absl::Duration> stop_timeout;
     /// During a planned stop, each response closes its connection.
     bool closes_when_stopping = false;
+    /// Keys of customers are valid for this long after control has last confirmed that
+    /// this entry has the newest state.
+    absl::Duration max_key_age = absl::InfiniteDuration();
     request::dialect dialect;
     /// Time after startup within which the declarations are expected. Requests that
     /// arrive earlier than these wait for them instead of being refused.
--- a/include/cuminpitch/request/events.hpp
+++ b/include/cuminpitch/request/events.hpp
@@ -117,6 +117,8 @@
     core::revision revision; ///< Of the fleet state.
     /// Revision that last changed the declarations, or a later one.
     core::revision declared;
+    /// Known keys are valid while `confirmed` is not longer ago than this.
+    absl::Duration max_key_age = absl::InfiniteDuration();
 };
 
 struct request_received
--- a/include/cuminpitch/request/route_table.hpp
+++ b/include/cuminpitch/request/route_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cuminpitch/config/declarations.hpp"
+#include "cuminpitch/customers/directory.hpp"
 #include "cuminpitch/request/path_matching.hpp"
 
 #include <absl/container/flat_hash_map.h>
@@ -20,7 +21,7 @@
     double weight = 0;
 };
 
-/// Finds the route of a request. Immutable.
+/// Finds the route of a request, and the customers of the same declarations. Immutable.
 class route_table
 {
 public:
@@ -36,6 +37,7 @@
         std::shared_ptr<const config::declarations> declared, path_matching rules = {});
 
     const path_matching& matching() const { return matching_; }
+    const customers::directory& customers() const { return customers_; }
 
     /// Finds the route that accepts the method and has the longest matching path prefix.
     /// A route that names the method wins over one that accepts any; then the smaller id
@@ -67,6 +69,7 @@
 
     path_matching matching_;
     std::shared_ptr<const config::declarations> declared_;
+    customers::directory customers_;
     absl::flat_hash_map<std::string, host_routes> hosts_;
     absl::flat_hash_set<core::pool_id> idempotent_pools_;
 };
--- a/src/config/compile.cpp
+++ b/src/config/compile.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <string_view>
 #include <tuple>
 
 namespace cuminpitch::config {
@@ -26,6 +27,9 @@
 constexpr std::uint64_t max_connection_count = 1'000'000;
 constexpr std::uint64_t max_attempt_count = 100;
 constexpr std::uint64_t max_priority = 1'000;
+constexpr std::size_t max_keys = 16;
+constexpr std::size_t max_key_length = 256;
+constexpr double max_customer_rate = 1'000'000;
 constexpr std::uint64_t max_header_limit = 64U << 20U;
 // Entries buffer whole bodies in memory.
 constexpr std::uint64_t max_body_bytes = 64U << 20U;
@@ -40,6 +44,7 @@
     "a path that starts with '/' (printable ASCII without space, '?' and '#', up to 1024 "
     "characters)";
 const std::string prefix_allowed = path_allowed + " and is not /.cuminpitch or below";
+const std::string key_allowed = "1 to 256 bytes without space and control characters";
 const std::string pool_allowed = "the name of a pool of the same team";
 
 /// The empty string stands for all methods.
@@ -71,6 +76,15 @@
            !text.starts_with(reserved_path + "/");
 }
 
+/// Whether a header can carry the text as one word. Bytes of UTF-8 are allowed.
+bool is_header_word(const std::string& text)
+{
+    return !text.empty() && text.size() <= max_key_length &&
+           std::all_of(text.begin(), text.end(), [](unsigned char c) {
+               return c > ' ' && c != 0x7f;
+           });
+}
+
 template <class T>
 void assign(T& to, const std::optional<std::uint64_t>& from)
 {
@@ -170,6 +184,34 @@
         }
     }
     assign(it.priority, from.integer("priority", 0, max_priority));
+    it.is_public = from.boolean("public").value_or(false);
+    it.has_large_responses = from.boolean("large_responses").value_or(false);
+    if (it.has_large_responses && !it.idempotent) {
+        from.report(
+            "large_responses", "contradicts idempotent false; allowed: with idempotent");
+    }
+    from.finish();
+    return it;
+}
+
+customer_settings read_customer(const core::customer_id& id, object_reader& from)
+{
+    customer_settings it;
+    it.id = id;
+    it.name = from.text("name", key_allowed, is_header_word).value_or(id.name);
+    it.keys = from.secrets("keys", max_keys, key_allowed, is_header_word)
+                  .value_or(std::vector<std::string>());
+    if (const auto n = from.integer("priority", 0, max_priority)) {
+        it.priority = static_cast<std::uint32_t>(*n);
+    }
+    const auto rate = from.number("rate_per_s", 0, max_customer_rate);
+    if (rate && *rate > 0) {
+        it.rate = core::request_rate(*rate);
+    }
+    it.burst = from.number("burst", 0, max_customer_rate).value_or(0);
+    if (it.burst > 0 && !it.rate) {
+        from.report("burst", "has no rate_per_s; allowed: with a rate above 0");
+    }
     from.finish();
     return it;
 }
@@ -181,20 +223,22 @@
     assign(it.max_body_bytes, from.integer("max_body_bytes", 1, max_body_bytes));
     assign(it.header_timeout, from.integer("header_timeout_ms", 1, max_deadline_ms));
     assign(it.idle_timeout, from.integer("idle_timeout_ms", 1, max_deadline_ms));
+    it.requires_key = from.boolean("requires_key").value_or(false);
     from.finish();
     return it;
 }
 
-/// Splits a path into "teams", team, kind ("pools", "routes" or "limits"), name and
-/// setting; returns an empty list if the path is not allowed. The only allowed name of
-/// the kind "limits" is "callers".
+/// Splits a path into "teams", team, kind ("pools", "routes", "customers" or "limits"),
+/// name and setting; returns an empty list if the path is not allowed. The only allowed
+/// name of the kind "limits" is "callers".
 std::vector<std::string> split_path(const std::string& path)
 {
     std::vector<std::string> parts = absl::StrSplit(path, '/');
-    const bool allowed = parts.size() == 5 && parts[0] == "teams" && is_name(parts[1]) &&
-                         (parts[2] == "pools" || parts[2] == "routes" ||
-                          (parts[2] == "limits" && parts[3] == "callers")) &&
-                         is_name(parts[3]) && !parts[4].empty();
+    const bool allowed =
+        parts.size() == 5 && parts[0] == "teams" && is_name(parts[1]) &&
+        (parts[2] == "pools" || parts[2] == "routes" || parts[2] == "customers" ||
+         (parts[2] == "limits" && parts[3] == "callers")) &&
+        is_name(parts[3]) && !parts[4].empty();
     return allowed ? parts : std::vector<std::string>();
 }
 
@@ -204,7 +248,7 @@
 public:
     explicit compiler(declarations before = {}) : result_(std::move(before)) {}
 
-    /// Adds a setting of a pool, route or limits object that run() will read.
+    /// Adds a setting of a pool, route, customer or limits object that run() will read.
     void add(const std::string& path, const std::string& text)
     {
         const auto parts = split_path(path);
@@ -216,12 +260,13 @@
             {file_of(path),
              path,
              "path is not allowed; allowed: teams/<team>/pools/<pool>/<setting>, "
-             "teams/<team>/routes/<route>/<setting> and "
+             "teams/<team>/routes/<route>/<setting>, "
+             "teams/<team>/customers/<customer>/<setting> and "
              "teams/<team>/limits/callers/<setting>, names of [a-z0-9-]{1,63}"});
     }
 
-    /// Removes a pool, route or limits object from the result. It stays deleted unless
-    /// settings of it are added.
+    /// Removes a pool, route, customer or limits object from the result. It stays deleted
+    /// unless settings of it are added.
     void remove(const std::vector<std::string>& parts)
     {
         const core::team_id team(parts[1]);
@@ -229,6 +274,8 @@
             result_.pools.erase({team, parts[3]});
         } else if (parts[2] == "limits") {
             result_.limits.erase(team);
+        } else if (parts[2] == "customers") {
+            result_.customers.erase({team, parts[3]});
         } else {
             result_.routes.erase({team, parts[3]});
         }
@@ -247,6 +294,10 @@
                 result_.pools.emplace(id, read_pool(id, from));
             } else if (kind == "limits") {
                 result_.limits.emplace(core::team_id(team), read_limits(from));
+            } else if (kind == "customers") {
+                const core::customer_id id{core::team_id(team), name};
+                teams_with_new_customers_.insert(id.team);
+                result_.customers.emplace(id, read_customer(id, from));
             } else {
                 const core::route_id id{core::team_id(team), name};
                 auto route = read_route(id, from);
@@ -256,6 +307,7 @@
         }
         check_pools_of_routes();
         check_overlaps();
+        check_customers();
         if (problems_.empty()) {
             return std::move(result_);
         }
@@ -276,6 +328,14 @@
         problems_.push_back({file_of(path), path, std::move(reason)});
     }
 
+    void
+    report(const core::customer_id& id, const std::string& setting, std::string reason)
+    {
+        const std::string path =
+            absl::StrCat("teams/", id.team.str(), "/customers/", id.name, "/", setting);
+        problems_.push_back({file_of(path), path, std::move(reason)});
+    }
+
     void check_pools_of_routes()
     {
         for (const auto& team : touched_teams_) {
@@ -312,6 +372,44 @@
             absl::StrCat("pool '", name, "' ", reason, "; allowed: ", pool_allowed));
     }
 
+    /// Reports every customer that has a key or the name of an earlier customer of its
+    /// team. The reasons don't contain keys.
+    void check_customers()
+    {
+        for (const auto& team : teams_with_new_customers_) {
+            std::map<std::string_view, const customer_settings*> by_key;
+            std::map<std::string_view, const customer_settings*> by_name;
+            for (auto it = result_.customers.lower_bound({team, ""});
+                 it != result_.customers.end() && it->first.team == team;
+                 ++it) {
+                const auto& customer = it->second;
+                const auto [same_name, is_new] =
+                    by_name.emplace(customer.name, &customer);
+                if (!is_new) {
+                    report(
+                        customer.id,
+                        "name",
+                        absl::StrCat(
+                            "is also the name of customer '",
+                            same_name->second->id.str(),
+                            "'; allowed: a different name for each customer"));
+                }
+                for (const auto& key : customer.keys) {
+                    const auto [same_key, is_new_key] = by_key.emplace(key, &customer);
+                    if (!is_new_key) {
+                        report(
+                            customer.id,
+                            "keys",
+                            absl::StrCat(
+                                "a key also belongs to customer '",
+                                same_key->second->id.str(),
+                                "'; allowed: one customer for each key"));
+                    }
+                }
+            }
+        }
+    }
+
     /// Reports every route that shares host, prefix and a method with an earlier route.
     void check_overlaps()
     {
@@ -355,6 +453,7 @@
 
     std::map<object_key, object_reader::values> objects_;
     std::set<core::team_id> touched_teams_;
+    std::set<core::team_id> teams_with_new_customers_;
     /// Maps a host to the path prefixes of the routes that were read.
     std::map<std::string, std::set<std::string>> touched_prefixes_;
     declarations result_;
@@ -378,7 +477,7 @@
     const std::vector<std::string>& changed)
 {
     compiler it(before);
-    // All paths of the changed pools, routes and limits, each once.
+    // All paths of the changed pools, routes, customers and limits, each once.
     std::set<settings::key_type> paths;
     for (const auto& path : changed) {
         const auto parts = split_path(path);
--- a/src/config/loader.cpp
+++ b/src/config/loader.cpp
@@ -91,7 +91,8 @@
         for (const auto& kind : children(team)) {
             const std::string path = absl::StrCat(team, "/", kind);
             std::error_code ec;
-            const bool is_kind = kind == "pools" || kind == "routes" || kind == "limits";
+            const bool is_kind = kind == "pools" || kind == "routes" ||
+                                 kind == "customers" || kind == "limits";
             if (!is_kind || !fs::is_directory(root_ / path, ec)) {
                 report(
                     path,
--- a/src/config/object_reader.cpp
+++ b/src/config/object_reader.cpp
@@ -106,6 +106,39 @@
     return std::nullopt;
 }
 
+std::optional<std::vector<std::string>> object_reader::secrets(
+    const std::string& name,
+    std::size_t max_count,
+    const std::string& allowed,
+    const std::function<bool(const std::string&)>& check)
+{
+    const auto it = take(name);
+    if (!it) {
+        return std::nullopt;
+    }
+    std::vector<std::string> result;
+    bool valid = it->is_array() && it->size() <= max_count;
+    for (const auto& element : valid ? *it : nlohmann::json::array()) {
+        valid =
+            valid && element.is_string() && check(element.get_ref<const std::string&>());
+        if (valid) {
+            result.push_back(element.get<std::string>());
+        }
+    }
+    if (valid &&
+        std::set<std::string>(result.begin(), result.end()).size() == result.size()) {
+        return result;
+    }
+    report(
+        name,
+        absl::StrCat(
+            "value is not allowed; allowed: a list of up to ",
+            max_count,
+            " different strings, each ",
+            allowed));
+    return std::nullopt;
+}
+
 std::optional<object_reader::weight_list> object_reader::weights(const std::string& name)
 {
     const auto it = take(name);
--- a/src/config/object_reader_priv.hpp
+++ b/src/config/object_reader_priv.hpp
@@ -36,6 +36,14 @@
     std::optional<std::vector<std::string>>
     choices(const std::string& name, const std::vector<std::string>& choices);
 
+    /// Reads a list of at most `max_count` distinct strings that `check` accepts.
+    /// Problems that are reported don't contain the values.
+    std::optional<std::vector<std::string>> secrets(
+        const std::string& name,
+        std::size_t max_count,
+        const std::string& allowed,
+        const std::function<bool(const std::string&)>& check);
+
     using weight_list = std::vector<std::pair<std::string, double>>;
     /// Reads a non-empty object that maps names to weights of at least 0.
     std::optional<weight_list> weights(const std::string& name);
--- a/src/core/json.cpp
+++ b/src/core/json.cpp
@@ -54,11 +54,17 @@
             return strict(depth, event, value);
         });
         it.reason = strict.reason();
-    } catch (const nlohmann::json::exception& e) {
+    } catch (const nlohmann::json::parse_error& e) {
+        // The text of the exception quotes the input, which may hold a secret.
         it.reason = strict.reason();
         if (it.reason.empty()) {
-            it.reason =
-                std::string("not JSON; allowed: one JSON value in UTF-8: ") + e.what();
+            it.reason = "not JSON; allowed: one JSON value in UTF-8; error at byte " +
+                        std::to_string(e.byte);
+        }
+    } catch (const nlohmann::json::exception&) {
+        it.reason = strict.reason();
+        if (it.reason.empty()) {
+            it.reason = "not JSON; allowed: one JSON value in UTF-8";
         }
     }
     return it;
--- a/src/core/process_settings.cpp
+++ b/src/core/process_settings.cpp
@@ -236,6 +236,14 @@
         duration_setting(absl::ZeroDuration(), absl::Hours(1)),
         stop_limit,
         "0s");
+    absl::Duration max_key_age;
+    parser.add(
+        "max-key-age",
+        "Time for which keys of customers are valid after control has last confirmed the "
+        "state of this entry; 0s: unlimited",
+        duration_setting(absl::ZeroDuration(), absl::Hours(24)),
+        max_key_age,
+        "0s");
     parser.add(
         "peers",
         "Internal endpoints of entries to query while no control instance is reachable "
@@ -252,6 +260,9 @@
     if (stop_limit > absl::ZeroDuration()) {
         it.stop_grace = stop_limit;
     }
+    if (max_key_age > absl::ZeroDuration()) {
+        it.max_key_age = max_key_age;
+    }
     if (it.control.empty() == it.seeds.empty()) {
         return bad_setting("control", join(it.control), "either --control or --seeds");
     }
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -72,6 +72,9 @@
         it.presence_interval = presence_interval;
         it.contacts_interval = contacts_interval;
     }
+    if (settings.max_key_age) {
+        it.max_key_age = *settings.max_key_age;
+    }
     if (settings.stop_grace) {
         it.stop_grace = *settings.stop_grace / 2;
         it.stop_timeout = settings.stop_grace;
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -145,9 +145,11 @@
         return;
     }
     if (const auto* it = std::get_if<control::permit_request>(&message.value())) {
-        limits_.receive(now_, from, *it);
+        it->customer ? allowances_.receive(now_, from, *it)
+                     : limits_.receive(now_, from, *it);
     } else if (const auto* it = std::get_if<control::permit_response>(&message.value())) {
-        limits_.receive(now_, from, *it);
+        it->customer ? allowances_.receive(now_, from, *it)
+                     : limits_.receive(now_, from, *it);
     } else if (const auto* it = std::get_if<control::rate_news>(&message.value())) {
         limits_.receive(now_, from, *it);
         if (it->wants_reply) {
@@ -195,6 +197,8 @@
     tick_shared_pools();
     limits_.tick(now_);
     notices_.tick(now_);
+    allowances_.set_confirmed(link_.last_response());
+    allowances_.tick(now_);
     if (now_ >= next_presence_ || paths_.is_impaired(now_) != was_impaired_) {
         send_presence();
     }
@@ -295,11 +299,6 @@
     }
 }
 
-void node::impl::run(request::request_allowance& wanted)
-{
-    dispatch(request::allowance_decided{wanted.request});
-}
-
 void node::impl::run(const core::pool_id&, health::send_heartbeat& heartbeat)
 {
     if (const auto to = view_->entries.find(heartbeat.to); to != view_->entries.end()) {
--- a/src/entry/node_impl_priv.hpp
+++ b/src/entry/node_impl_priv.hpp
@@ -6,6 +6,7 @@
 #include "cuminpitch/health/path_monitor.hpp"
 #include "cuminpitch/request/dispatcher.hpp"
 #include "cuminpitch/request/route_table.hpp"
+#include "entry/allowances_priv.hpp"
 #include "entry/control_link_priv.hpp"
 #include "entry/entries_query_priv.hpp"
 #include "entry/failure_relay_priv.hpp"
@@ -65,7 +66,8 @@
           relay_(options_.self),
           limits_(options_.self, core::random_source(options_.seed + 2), metrics),
           reach_(options_.self, core::random_source(options_.seed + 3), metrics),
-          notices_(options_.self, core::random_source(options_.seed + 4), metrics)
+          notices_(options_.self, core::random_source(options_.seed + 4), metrics),
+          allowances_(options_.self, core::random_source(options_.seed + 5), metrics)
     {
     }
 
@@ -80,6 +82,7 @@
         flush_reach();
         flush_notices();
         flush_limits();
+        flush_allowances();
         return std::exchange(out_, {});
     }
 
@@ -88,7 +91,7 @@
     bool is_idle() const
     {
         return is_ready() && pools_.empty() && dispatcher_.in_flight() == 0 &&
-               limits_.is_idle() && reach_.is_idle();
+               limits_.is_idle() && reach_.is_idle() && allowances_.is_idle();
     }
     std::vector<core::endpoint> named_entries() const;
     std::string metrics_text();
@@ -144,7 +147,10 @@
     {
         limits_.want(now_, wanted.pool, wanted.server, wanted.count);
     }
-    void run(request::request_allowance& wanted);
+    void run(request::request_allowance& wanted)
+    {
+        allowances_.request(now_, wanted.request, wanted.customer);
+    }
     void run(request::observe& observed);
     void run(request::explain& explanation);
     void run(const core::pool_id& pool, health::send_heartbeat& heartbeat);
@@ -197,6 +203,9 @@
     /// Sends the messages of the rate limits, and updates the pools whose servers are
     /// affected.
     void flush_limits();
+    /// Passes on the decisions about requests that need permits of customers' rates, and
+    /// sends the messages.
+    void flush_allowances();
     void flush_notices();
     void observe_notice(
         const core::pool_id& pool,
@@ -235,6 +244,7 @@
     rate_limits limits_;
     server_reach reach_;
     server_notices notices_;
+    allowances allowances_;
     /// Revision in which the declarations last changed, or a later one.
     core::revision declared_;
     /// Pools for which other entries have sent evidence since the last tick.
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -68,7 +68,8 @@
          ends_at_,
          link_.last_response(),
          link_.replica().revision(),
-         declared_});
+         declared_,
+         options_.max_key_age});
     if (condition_.is_isolated != was_isolated) {
         log(telemetry::severity::warning,
             condition_.is_isolated ? "isolated" : "connected");
@@ -106,6 +107,7 @@
         routes_ = std::make_shared<const request::route_table>(
             view_->declarations, options_.dialect.paths);
         dispatcher_.set_routes(routes_);
+        allowances_.set_declared(view_->declarations);
         drop_undeclared_pools(previous.get());
     }
     const bool same_entries = previous && previous->entries == view_->entries;
@@ -116,6 +118,7 @@
         }
         reach_.set_entries(entries);
         notices_.set_entries(entries);
+        allowances_.set_entries(now_, entries);
         limits_.set_entries(std::move(entries));
     }
     for (const auto& [id, declared] : view_->declarations->pools) {
@@ -218,6 +221,22 @@
     }
 }
 
+void node::impl::flush_allowances()
+{
+    while (true) {
+        for (auto& it : allowances_.take_messages()) {
+            out_.push_back(send_message(it.to, it.message));
+        }
+        const auto decisions = allowances_.take_decisions();
+        if (decisions.empty()) {
+            return;
+        }
+        for (const auto& it : decisions) {
+            dispatch(it);
+        }
+    }
+}
+
 void node::impl::flush_limits()
 {
     // Updating a pool may send requests, which in turn may request permits.
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -158,6 +158,9 @@
         request.caller = core::caller_id("any");
     }
     auto why = apply_filters(request);
+    if (request.customer != nullptr && options_.has_admission_control) {
+        request.caller = core::caller_id(request.customer->id.str());
+    }
     if (!why) {
         why = admit_to_entry(request.pool->id.team);
     }
@@ -177,6 +180,9 @@
     }
     if (request.needs_forwarding) {
         forward_to_entry(request);
+    } else if (request.customer != nullptr && request.customer->rate) {
+        request.at = live_request::phase::awaiting_permit;
+        out_.emplace_back(request_allowance{request.id, request.customer->id});
     } else {
         dispatch_or_enqueue(request);
     }
@@ -186,8 +192,8 @@
 {
     const filter_context context{
         now_, entry_, routes_, pools_, options_.dialect, splits_};
-    const std::array<const filter*, 3> chain = {
-        &route_filter_, &admission_filter_, &ownership_filter_};
+    const std::array<const filter*, 4> chain = {
+        &route_filter_, &key_filter_, &admission_filter_, &ownership_filter_};
     for (const filter* each : chain) {
         if (const auto why = each->apply(context, it)) {
             return why;
@@ -357,7 +363,7 @@
     const core::pool_id id = request.pool->id;
     if (request.at == live_request::phase::queued) {
         pool_of(request)->queue().remove(request.caller, request.id);
-    } else {
+    } else if (request.at != live_request::phase::awaiting_permit) {
         out_.emplace_back(cancel_attempt{request.attempt});
         end_attempt(request);
     }
@@ -368,7 +374,30 @@
     }
 }
 
-void dispatcher::impl::on(const allowance_decided& /*it*/) {}
+void dispatcher::impl::on(const allowance_decided& it)
+{
+    const auto found = live_.find(it.id);
+    if (found == live_.end() ||
+        found->second->at != live_request::phase::awaiting_permit) {
+        return;
+    }
+    live_request& request = *found->second;
+    request.at = live_request::phase::arriving;
+    const pool_state* pool = pool_of(request);
+    if (it.what != allowance_decided::outcome::granted) {
+        const bool is_over = it.what == allowance_decided::outcome::over_allowance;
+        request.permit_wait = it.retry_after;
+        conclude(
+            request,
+            is_over ? refusal_reason::over_allowance : refusal_reason::allowance_unknown);
+    } else if (pool == nullptr) {
+        conclude(request, refusal_reason::no_route);
+    } else if (!pool->last_update().is_assigned) {
+        conclude(request, refusal_reason::not_assigned);
+    } else {
+        dispatch_again(request);
+    }
+}
 
 void dispatcher::impl::on(const tick& /*it*/)
 {
@@ -377,6 +406,10 @@
     }
     while (!timers_.empty() && timers_.begin()->first <= now_) {
         live_request& it = *live_.at(timers_.begin()->second);
+        if (it.at == live_request::phase::awaiting_permit) {
+            conclude(it, refusal_reason::deadline_in_queue);
+            continue;
+        }
         if (it.at == live_request::phase::queued) {
             pool_of(it)->queue().remove(it.caller, it.id);
             conclude(it, refusal_reason::deadline_in_queue);
--- a/src/request/dispatcher_impl_priv.hpp
+++ b/src/request/dispatcher_impl_priv.hpp
@@ -121,6 +121,7 @@
     mutable core::random_source retry_random_;
     telemetry::metrics& counters_;
     const route_filter route_filter_;
+    const key_filter key_filter_;
     const admission_filter admission_filter_;
     const ownership_filter ownership_filter_;
 
--- a/src/request/dispatcher_responses.cpp
+++ b/src/request/dispatcher_responses.cpp
@@ -75,6 +75,10 @@
         {"servers", static_cast<std::int64_t>(pool.last_update().servers.size())},
         {"known_for_ms", absl::ToInt64Milliseconds(now_ - entry_.confirmed)},
         {"revision", static_cast<std::int64_t>(pool.last_update().revision.value())}};
+    if (it.customer != nullptr) {
+        inputs.push_back({"customer", it.customer->id.str()});
+        inputs.push_back({"rank", static_cast<std::int64_t>(it.rank())});
+    }
     if (server.limit) {
         inputs.push_back({"server_limit_per_s", server.limit->rate.per_second()});
         inputs.push_back(
@@ -181,8 +185,9 @@
     refusal.retry_after = retry_after(it, why);
     refusal.entries = other_entries(it);
     refusal.is_terse = options_.dialect.terse_refusals;
-    const bool is_retryable_later =
-        retry_class_of(why) == retry_class::later && verdict == core::verdict::not_run;
+    const bool is_retryable_later = retry_class_of(why) == retry_class::later &&
+                                    why != refusal_reason::over_allowance &&
+                                    verdict == core::verdict::not_run;
     if (options_.dialect.unavailable_means_not_run && is_retryable_later) {
         refusal.status = unavailable;
     } else if (
@@ -190,15 +195,17 @@
         refusal.status == unavailable) {
         refusal.status = bad_gateway;
     }
-    explain_decision(
-        it,
-        "refused",
-        {{"status", std::int64_t{refusal.status}},
-         {"reason", std::string(to_string(why))},
-         {"verdict", std::string(core::to_string(verdict))},
-         {"retry_after_ms", absl::ToInt64Milliseconds(refusal.retry_after)},
-         {"total_ms", absl::ToInt64Milliseconds(now_ - it.received)},
-         {"attempts", static_cast<std::int64_t>(it.tried.size())}});
+    std::vector<telemetry::field> inputs = {
+        {"status", std::int64_t{refusal.status}},
+        {"reason", std::string(to_string(why))},
+        {"verdict", std::string(core::to_string(verdict))},
+        {"retry_after_ms", absl::ToInt64Milliseconds(refusal.retry_after)},
+        {"total_ms", absl::ToInt64Milliseconds(now_ - it.received)},
+        {"attempts", static_cast<std::int64_t>(it.tried.size())}};
+    if (it.customer != nullptr) {
+        inputs.push_back({"customer", it.customer->id.str()});
+    }
+    explain_decision(it, "refused", std::move(inputs));
     auto response = http::refusal_response(refusal);
     if (it.is_from_entry) {
         response.headers.set(std::string(http::verdict_header), core::to_string(verdict));
@@ -263,6 +270,9 @@
     case retry_class::later:
         break;
     }
+    if (why == refusal_reason::over_allowance) {
+        return it.permit_wait;
+    }
     const pool_state* pool = it.pool == nullptr ? nullptr : pool_of(it);
     const bool has_queue = pool != nullptr && pool->queue().size() > 0;
     if (pool != nullptr && pool->is_closed(now_) &&
--- a/src/request/filters_priv.hpp
+++ b/src/request/filters_priv.hpp
@@ -42,6 +42,15 @@
     apply(const filter_context& at, live_request& it) const override;
 };
 
+/// Identifies the customer by the key of the request, also if another entry has forwarded
+/// it: a header that says who the customer is could come from any caller.
+class key_filter : public filter
+{
+public:
+    std::optional<refusal_reason>
+    apply(const filter_context& at, live_request& it) const override;
+};
+
 /// Checks the state of the entry and the size and deadline of the request.
 class admission_filter : public filter
 {
--- a/src/request/header_rules.cpp
+++ b/src/request/header_rules.cpp
@@ -70,6 +70,26 @@
     it.remove(names.not_run);
 }
 
+std::optional<std::string> read_key(const http::headers& it, const dialect& names)
+{
+    const std::string* value = nullptr;
+    for (const auto& [name, text] : it.fields()) {
+        if (absl::EqualsIgnoreCase(name, names.key_header)) {
+            if (value != nullptr) {
+                return std::nullopt;
+            }
+            value = &text;
+        }
+    }
+    const auto& scheme = names.key_scheme;
+    if (value == nullptr || value->size() <= scheme.size() ||
+        !absl::EqualsIgnoreCase(value->substr(0, scheme.size()), scheme) ||
+        (*value)[scheme.size()] != ' ') {
+        return std::nullopt;
+    }
+    return std::string(absl::StripAsciiWhitespace(value->substr(scheme.size())));
+}
+
 deadline_value read_deadline(const http::headers& it, const std::string& name)
 {
     if (!it.has(name)) {
--- a/src/request/header_rules_priv.hpp
+++ b/src/request/header_rules_priv.hpp
@@ -25,6 +25,10 @@
 /// Removes the response headers that only entries may set: verdict, reason and `not_run`.
 void strip_fleet_headers(http::headers& it, const dialect& names);
 
+/// Returns the key in the key header, which must be there once, as the scheme of the
+/// dialect, spaces and the key. The case of the scheme doesn't matter.
+std::optional<std::string> read_key(const http::headers& it, const dialect& names);
+
 enum class deadline_kind
 {
     absent,
--- a/src/request/live_request_priv.hpp
+++ b/src/request/live_request_priv.hpp
@@ -33,6 +33,9 @@
     const config::pool_settings* pool = nullptr;
     /// Null if the request has no key. Kept alive by `routes`.
     const config::customer_settings* customer = nullptr;
+    /// The key is removed before the request is sent to a server, and the name of the
+    /// customer is set.
+    bool hides_key = false;
     absl::Time received;
     absl::Time deadline;
     bool is_from_entry = false;
@@ -69,6 +72,8 @@
     /// succeeds.
     std::optional<http::response> fallback;
 
+    /// Expected time until the customer's rate allows a request.
+    absl::Duration permit_wait;
     /// A server was left out because of its rate limit.
     bool is_withheld = false;
     /// A server that wants no requests was left out, which has been logged.
--- a/src/request/messages.cpp
+++ b/src/request/messages.cpp
@@ -60,6 +60,13 @@
     const bool lacks_id = !names.correlation.empty() && it.correlation.empty();
     out.fresh_connection = out.fresh_connection || lacks_id;
     set_deadline(out.headers, remaining, names);
+    if (it.hides_key) {
+        out.headers.remove(names.key_header);
+        out.headers.remove(names.customer_header);
+        if (it.customer != nullptr) {
+            out.headers.set(names.customer_header, it.customer->name);
+        }
+    }
     if (!names.target_server.empty()) {
         out.headers.set(names.target_server, server.id.str());
     }
--- a/src/request/route_table.cpp
+++ b/src/request/route_table.cpp
@@ -44,7 +44,7 @@
 
 route_table::route_table(
     std::shared_ptr<const config::declarations> declared, path_matching rules)
-    : matching_(rules), declared_(std::move(declared))
+    : matching_(rules), declared_(std::move(declared)), customers_(declared_)
 {
     const auto key_of = [this](std::string_view prefix) {
         return std::string(
--- a/src/wire/control_decoder.cpp
+++ b/src/wire/control_decoder.cpp
@@ -342,9 +342,20 @@
            !out.server.empty();
 }
 
+/// The customer of a permit request or response, if it names one.
+template <class Table>
+std::optional<core::customer_id> customer_of(const Table& in)
+{
+    return in.customer() == nullptr
+               ? std::nullopt
+               : std::optional(core::customer_id{
+                     core::team_id(text_of(in.customer_team())), in.customer()->str()});
+}
+
 bool read(const fb::permit_request& in, model::message& out)
 {
     model::permit_request it;
+    it.customer = customer_of(in);
     it.wanted = in.wanted();
     it.sent = absl::FromUnixMicros(in.sent_us());
     const bool ok = read(*in.known(), it.known);
@@ -355,6 +366,7 @@
 bool read(const fb::permit_response& in, model::message& out)
 {
     model::permit_response it;
+    it.customer = customer_of(in);
     it.echo = absl::FromUnixMicros(in.echo_us());
     it.held = absl::Microseconds(in.held_us());
     it.granted = in.granted();
--- a/src/wire/control_encoder.cpp
+++ b/src/wire/control_encoder.cpp
@@ -363,6 +363,10 @@
     {
         fb::permit_requestT body;
         body.known = to_wire(it.known);
+        if (it.customer) {
+            body.customer_team = it.customer->team.str();
+            body.customer = it.customer->name;
+        }
         body.wanted = it.wanted;
         body.sent_us = absl::ToUnixMicros(it.sent);
         const auto at = fb::permit_request::Pack(to, &body);
@@ -373,6 +377,10 @@
     {
         fb::permit_responseT body;
         body.known = to_wire(it.known);
+        if (it.customer) {
+            body.customer_team = it.customer->team.str();
+            body.customer = it.customer->name;
+        }
         body.echo_us = absl::ToUnixMicros(it.echo);
         body.held_us = absl::ToInt64Microseconds(it.held);
         body.granted = it.granted;
--- a/tests/config/compile_test.cpp
+++ b/tests/config/compile_test.cpp
@@ -122,6 +122,23 @@
         {"teams/a/routes/r/pool", "\"q\""},
         {"teams/a/routes/r/pool", "not JSON"},
         {"teams/a/routes/r/deadline_ms", "0"},
+        {"teams/a/routes/r/public", "1"},
+        {"teams/a/routes/r/large_responses", "true"},
+        {"teams/a/limits/callers/requires_key", "1"},
+        {"teams/a/customers/c/keys", "\"k\""},
+        {"teams/a/customers/c/keys", "[\"\"]"},
+        {"teams/a/customers/c/keys", "[\"a\",\"a\"]"},
+        {"teams/a/customers/c/keys", "[\"a b\"]"},
+        {"teams/a/customers/c/keys", "[\"a\\u0001\"]"},
+        {"teams/a/customers/c/keys", "[\"" + std::string(257, 'k') + "\"]"},
+        {"teams/a/customers/c/keys", "[1]"},
+        {"teams/a/customers/c/name", "\"\""},
+        {"teams/a/customers/c/priority", "-1"},
+        {"teams/a/customers/c/rate_per_s", "-0.5"},
+        {"teams/a/customers/c/rate_per_s", "1e999"},
+        {"teams/a/customers/c/rate_per_s", "\"1\""},
+        {"teams/a/customers/c/burst", "1"},
+        {"teams/a/customers/c/quota", "1"},
         {"teams/a/queues/r/x", "1"},
         {"teams/A/pools/p/entries", "1"},
         {"teams/a/pools/p/entries/x", "1"}};
@@ -132,6 +149,36 @@
     }
 }
 
+// Guards against two customers with one key or name, also after a change of one of them,
+// and against a reason that shows a key.
+TEST(compile, refuses_customers_with_the_same_key_or_name)
+{
+    settings tree = valid_tree();
+    tree["teams/a/customers/c/keys"] = "[\"secret-1\",\"secret-2\"]";
+    tree["teams/a/customers/d/keys"] = "[\"secret-3\"]";
+    tree["teams/b/customers/c/keys"] = "[\"secret-1\"]";
+    const auto before = compile(tree);
+    ASSERT_TRUE(std::holds_alternative<declarations>(before));
+    tree["teams/a/customers/d/keys"] = "[\"secret-3\",\"secret-2\"]";
+    tree["teams/a/customers/d/name"] = "\"c\"";
+    const std::vector<std::string> changed = {
+        "teams/a/customers/d/keys", "teams/a/customers/d/name"};
+    for (const auto& compiled :
+         {compile(tree), recompile(std::get<declarations>(before), tree, changed)}) {
+        const auto* problems = std::get_if<std::vector<problem>>(&compiled);
+        ASSERT_NE(problems, nullptr);
+        ASSERT_EQ(problems->size(), 2U);
+        EXPECT_EQ(problems->front().path, changed[0]);
+        EXPECT_EQ(problems->back().path, changed[1]);
+        EXPECT_THAT(problems->front().reason, testing::Not(testing::HasSubstr("secret")));
+    }
+    tree["teams/a/customers/d/keys"] = "[\"secret-3\",";
+    const auto cut = compile(tree);
+    for (const auto& it : std::get<std::vector<problem>>(cut)) {
+        EXPECT_THAT(it.reason, testing::Not(testing::HasSubstr("secret")));
+    }
+}
+
 // Guards against an incomplete route, and against two contradictory health minimums of
 // which one would be ignored.
 TEST(compile, refuses_missing_and_contradictory_settings)
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -99,6 +99,41 @@
     EXPECT_EQ(all->limits.at(only_team()).idle_timeout, absl::Seconds(15));
 }
 
+// Guards against a customer field that is dropped or decoded wrongly, and against routes
+// that need keys although the configuration has no customers.
+TEST(platform_declarations, reads_customers)
+{
+    json from = sample();
+    EXPECT_FALSE(compiled(from)->limits.at(only_team()).requires_key);
+    from["tenants"] = json::array(
+        {{{"name", "t-1"},
+          {"api-keys", {"k-1", "k-2"}},
+          {"priority", 2},
+          {"rate-per-s", 362},
+          {"burst", 36.2}},
+         {{"name", "Ü"}, {"api-keys", json::array()}},
+         {{"name", "t-2"}, {"rate-per-s", 0}, {"burst", 5}}});
+    from["listeners"][0]["rule-set"][0]["public"] = true;
+    from["listeners"][0]["rule-set"][0]["kind"] = "download";
+    const auto all = compiled(from);
+    ASSERT_TRUE(all.has_value());
+    EXPECT_TRUE(all->limits.at(only_team()).requires_key);
+    ASSERT_EQ(all->customers.size(), 3U);
+    const auto& first = all->customers.at({only_team(), "t-1"});
+    EXPECT_EQ(first.name, "t-1");
+    EXPECT_EQ(first.keys, (std::vector<std::string>{"k-1", "k-2"}));
+    EXPECT_EQ(first.priority, 2U);
+    EXPECT_EQ(first.rate, core::request_rate(362));
+    EXPECT_EQ(first.burst, 36.2);
+    EXPECT_EQ(all->customers.at({only_team(), to_name("Ü")}).name, "Ü");
+    EXPECT_FALSE((all->customers.at({only_team(), "t-2"}).rate.has_value()));
+    const auto& route = all->routes.at({only_team(), "r-1"});
+    EXPECT_TRUE(route.is_public && route.idempotent && route.has_large_responses);
+    EXPECT_FALSE((all->routes.at({only_team(), "r-2"}).is_public));
+    from["tenants"] = json::array();
+    EXPECT_TRUE(compiled(from)->limits.at(only_team()).requires_key);
+}
+
 // Guards against accepting an invalid configuration.
 TEST(platform_declarations, refuses_invalid_ones)
 {
@@ -117,6 +152,19 @@
     EXPECT_FALSE(broken([](json& it, json&) {
         it["listeners"][0]["rule-set"][1]["action"]["traffic-split"][0]["weight"] = -1;
     }));
+    for (const json& tenant : std::vector<json>{
+             {{"api-keys", {"k"}}},
+             {{"name", "t"}, {"api-keys", {"k", "k"}}},
+             {{"name", "t"}, {"api-keys", {""}}},
+             {{"name", "t"}, {"api-keys", "k"}},
+             {{"name", "t"}, {"rate-per-s", -1}},
+             {{"name", "t"}, {"rate-per-s", "1"}},
+             {{"name", "t"}, {"rate-per-s", 1}, {"burst", -1}}}) {
+        EXPECT_FALSE(broken([&](json& it, json&) { it["tenants"] = {tenant}; }));
+        EXPECT_FALSE(broken([&](json& it, json&) {
+            it["tenants"] = {tenant, {{"name", "other"}, {"api-keys", {"k"}}}};
+        }));
+    }
     EXPECT_TRUE(broken([](json&, json& it) { it["target-latency-ms"] = 62499; }));
     const std::string whole = sample().dump();
     const auto cut = decode_configuration(whole.substr(0, whole.size() / 2), {});
