Read permit messages of customers, which name no server

The simulated fleets exchanged decoded messages and didn't see it.

The state of a server is not read if the message names a customer. Queries name a customer too, so that they aren't taken for those of a server. The tests of rates now pass each message through the codec, which fails on the code before.

--- a/src/entry/allowance_owner.cpp
+++ b/src/entry/allowance_owner.cpp
@@ -135,7 +135,7 @@
         it.alone_since = std::min(it.alone_since, now);
         if (now >= it.next_query) {
             it.next_query = now + query_interval;
-            query_others(it);
+            query_others(customer, it);
         }
     }
     const double rate_share = share(now, it);
@@ -156,11 +156,15 @@
     return out;
 }
 
-void allowance_owner::query_others(const ledger& it)
+void allowance_owner::query_others(const core::customer_id& customer, const ledger& it)
 {
     for (const auto& each : it.owners) {
-        if (each.id != self_.id) {
-            queries_.push_back(each.internal);
+        const bool is_queried =
+            std::any_of(queries_.begin(), queries_.end(), [&](const query& other) {
+                return other.to == each.internal;
+            });
+        if (each.id != self_.id && !is_queried) {
+            queries_.push_back({each.internal, customer});
         }
     }
 }
@@ -187,11 +191,9 @@
     next_query_ = now + query_interval;
     for (const auto& [customer, it] : ledgers_) {
         if (it.position == 0) {
-            query_others(it);
+            query_others(customer, it);
         }
     }
-    std::sort(queries_.begin(), queries_.end());
-    queries_.erase(std::unique(queries_.begin(), queries_.end()), queries_.end());
 }
 
 } // namespace cuminpitch::entry
--- a/src/entry/allowance_owner_priv.hpp
+++ b/src/entry/allowance_owner_priv.hpp
@@ -61,7 +61,12 @@
 
     /// Asks other owners for a sign of life while this entry depends on it.
     void tick(absl::Time now);
-    std::vector<core::endpoint> take_queries() { return std::exchange(queries_, {}); }
+    struct query
+    {
+        core::endpoint to;
+        core::customer_id customer; ///< One of those that the entry owns.
+    };
+    std::vector<query> take_queries() { return std::exchange(queries_, {}); }
     bool is_idle() const { return ledgers_.empty(); }
     std::size_t ledgers() const { return ledgers_.size(); }
 
@@ -85,7 +90,7 @@
     bool hears(absl::Time now, const control::entry_record& it) const;
     /// The part of the rate that this entry may grant.
     double share(absl::Time now, const ledger& it) const;
-    void query_others(const ledger& it);
+    void query_others(const core::customer_id& customer, const ledger& it);
 
     control::entry_record self_;
     std::vector<control::entry_record> entries_;
@@ -97,7 +102,7 @@
     absl::Time next_query_ = absl::InfinitePast();
     absl::btree_map<core::endpoint, absl::Time> heard_;
     absl::btree_map<core::customer_id, ledger> ledgers_;
-    std::vector<core::endpoint> queries_;
+    std::vector<query> queries_;
 };
 
 } // namespace cuminpitch::entry
--- a/src/entry/allowances.cpp
+++ b/src/entry/allowances.cpp
@@ -126,7 +126,6 @@
 {
     control::permit_request request;
     request.customer = customer;
-    request.known.phase = control::rate_phase::ended;
     request.wanted = static_cast<std::uint32_t>(
         static_cast<double>(it.waiting.size()) +
         std::floor(it.demand * absl::ToDoubleSeconds(advance_time)));
@@ -163,7 +162,6 @@
     owner_.record_contact(now, from.internal);
     control::permit_response response;
     response.customer = it.customer;
-    response.known = it.known;
     response.echo = it.sent;
     const auto declared = allowance_of(*it.customer);
     if (declared && it.wanted > 0) {
@@ -249,12 +247,11 @@
 void allowances::tick(absl::Time now)
 {
     owner_.tick(now);
-    for (const auto& to : owner_.take_queries()) {
+    for (auto& it : owner_.take_queries()) {
         control::permit_request query;
-        query.customer.emplace();
-        query.known.phase = control::rate_phase::ended;
+        query.customer = std::move(it.customer);
         query.sent = now;
-        out_.push_back({to, std::move(query)});
+        out_.push_back({it.to, std::move(query)});
     }
     for (const auto& customer : std::vector(waiting_.begin(), waiting_.end())) {
         auto& it = accounts_.at(customer);
--- a/tests/control/control_codec_test.cpp
+++ b/tests/control/control_codec_test.cpp
@@ -30,6 +30,7 @@
     for (const auto& it : sample_commands) {
         changes.commands.push_back({rev(2), it});
     }
+    const core::customer_id customer{core::team_id("t"), "shop"};
     const rate_state limit{
         pool_a,
         core::server_id("s1"),
@@ -77,7 +78,18 @@
             true,
             7,
             {core::instance_id("e1"), core::instance_id("e2")}},
-        leaving_news{{{{core::team_id("t"), "p"}, core::server_id("s1"), 7}}}};
+        leaving_news{{{{core::team_id("t"), "p"}, core::server_id("s1"), 7}}},
+        permit_request{{}, 3, absl::FromUnixMicros(123'456), customer},
+        permit_response{
+            {},
+            absl::FromUnixMicros(123'456),
+            absl::ZeroDuration(),
+            2,
+            absl::Milliseconds(700),
+            absl::ZeroDuration(),
+            0,
+            true,
+            customer}};
 }
 
 // Guards against fields that are lost or swapped by encoding and decoding.
@@ -117,6 +129,9 @@
     EXPECT_EQ(std::get<reach_query>(back[9]), std::get<reach_query>(messages[9]));
     EXPECT_EQ(std::get<reach_report>(back[10]), std::get<reach_report>(messages[10]));
     EXPECT_EQ(std::get<leaving_news>(back[11]), std::get<leaving_news>(messages[11]));
+    EXPECT_EQ(std::get<permit_request>(back[12]), std::get<permit_request>(messages[12]));
+    EXPECT_EQ(
+        std::get<permit_response>(back[13]), std::get<permit_response>(messages[13]));
 }
 
 // Guards against reads outside a damaged buffer. Decoding may fail or return any value.
--- a/tests/entry/allowances_test.cpp
+++ b/tests/entry/allowances_test.cpp
@@ -138,7 +138,7 @@
     {
         std::size_t from = 0;
         std::size_t to = 0;
-        control::message message;
+        std::string message; ///< Encoded, so that the codec is tested too.
     };
 
     void send(std::size_t to)
@@ -176,7 +176,7 @@
             if (entries_[to].group == it.group) {
                 const auto delay = absl::Milliseconds(1 + random_() % 3);
                 on_their_way_.emplace(
-                    now_ + delay, message_on_its_way{n, to, std::move(each.message)});
+                    now_ + delay, message_on_its_way{n, to, wire::encode(each.message)});
             }
         }
         for (const auto& each : it.rules->take_decisions()) {
@@ -204,11 +204,14 @@
                 continue;
             }
             const net::peer from{records_[it.from].id, records_[it.from].internal};
-            if (const auto* each = std::get_if<control::permit_request>(&it.message)) {
+            const auto message = wire::decode_control_message(it.message);
+            ASSERT_TRUE(message);
+            if (const auto* each =
+                    std::get_if<control::permit_request>(&message.value())) {
                 to.rules->receive(now_, from, *each);
             } else {
                 to.rules->receive(
-                    now_, from, std::get<control::permit_response>(it.message));
+                    now_, from, std::get<control::permit_response>(message.value()));
             }
             collect(it.to);
         }
