Recognize the response of a permit owner by the time that messages carry

An entry tells the response to its newest request for permits by the time of sending, which it kept in nanoseconds, while messages carry microseconds. Nearly all responses were taken for those to older requests.

The time is cut to microseconds before it is sent.

--- a/src/entry/allowances.cpp
+++ b/src/entry/allowances.cpp
@@ -129,8 +129,9 @@
     request.wanted = static_cast<std::uint32_t>(
         static_cast<double>(it.waiting.size()) +
         std::floor(it.demand * absl::ToDoubleSeconds(advance_time)));
-    request.sent = now;
-    it.requested = now;
+    // Messages carry microseconds, and the response is recognized by this time.
+    request.sent = absl::FromUnixMicros(absl::ToUnixMicros(now));
+    it.requested = request.sent;
     it.asked_for = request.wanted;
     it.awaits_response = true;
     const auto declared = allowance_of(customer);
@@ -149,7 +150,7 @@
     }
     const auto answer = owner_.grant(now, customer, *declared, request.wanted);
     control::permit_response response;
-    response.echo = now;
+    response.echo = it.requested;
     response.granted = answer.granted;
     response.expected_wait = answer.expected_wait;
     response.is_redirect = answer.is_redirect;
--- a/tests/entry/allowances_test.cpp
+++ b/tests/entry/allowances_test.cpp
@@ -91,7 +91,8 @@
                 send(to[random_() % to.size()]);
             }
             deliver();
-            if ((now_ - absl::UnixEpoch()) % tick_interval == absl::ZeroDuration()) {
+            if (now_ >= next_tick_) {
+                next_tick_ = now_ + tick_interval;
                 tick();
             }
         }
@@ -225,7 +226,9 @@
     std::shared_ptr<const config::declarations> declared_;
     std::vector<simulated_entry> entries_;
     std::multimap<absl::Time, message_on_its_way> on_their_way_;
-    absl::Time now_ = absl::UnixEpoch() + absl::Seconds(1000);
+    /// Clocks count nanoseconds.
+    absl::Time now_ = absl::UnixEpoch() + absl::Seconds(1000) + absl::Nanoseconds(123);
+    absl::Time next_tick_ = absl::InfinitePast();
     double due_ = 0;
     core::request_id last_id_;
     std::map<outcome, std::size_t> outcomes_;
