--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -203,6 +203,30 @@
     EXPECT_TRUE(all->routes.contains({only_team(), "r-2"}));
 }
 
+// Guards against a rule that loses its route because another rule literally has the name
+// that tells rules of one name apart, or the name that stands for one with other
+// characters.
+TEST(platform_declarations, rules_named_like_made_names_are_kept_apart)
+{
+    json from = sample();
+    from["listeners"].push_back(
+        listener("g.example", json::array({sample_rule("r-1", "/a/")})));
+    const auto before = compiled(from);
+    ASSERT_TRUE(before.has_value());
+    const std::string prefix = "/literal/";
+    json rules = json::array();
+    for (const auto& [id, it] : before->routes) {
+        rules.push_back(sample_rule(id.name, prefix + id.name + "/"));
+    }
+    rules.push_back(sample_rule("Ü", "/u/"));
+    rules.push_back(sample_rule(to_name("Ü"), "/v/"));
+    const auto count = before->routes.size() + rules.size();
+    from["listeners"].push_back(listener("i.example", rules));
+    const auto all = compiled(from);
+    ASSERT_TRUE(all.has_value());
+    EXPECT_EQ(all->routes.size(), count);
+}
+
 // Guards against names of routes that depend on the order of the rules: reordering a
 // configuration would replace its routes.
 TEST(platform_declarations, order_of_rules_changes_no_route)
