Let entries say how many server slots they can keep busy

On a deployment with entries of 0.07 cores requests waited for the processor of an entry: in the peaks up to 0.42 s before a first server got them. Control named one entry for 18 slots of servers whatever an entry can do.

An entry says in its presence how many slots it can keep busy; control divides by the mean.

--- a/include/cuminpitch/control/sync.hpp
+++ b/include/cuminpitch/control/sync.hpp
@@ -78,6 +78,8 @@
     bool ready = false; ///< Whether callers may connect to it.
     /// Its connections to backend servers fail, so callers should prefer other entries.
     bool impaired = false;
+    /// Slots of backend servers that it can keep busy; 0 if it doesn't say.
+    std::uint32_t slots = 0;
 
     friend bool operator==(const presence&, const presence&) = default;
 };
--- a/include/cuminpitch/core/process_settings.hpp
+++ b/include/cuminpitch/core/process_settings.hpp
@@ -73,6 +73,9 @@
     /// `--stop-grace`: maximum time from the stop signal to the end of the process. New
     /// requests are accepted during the first half.
     std::optional<absl::Duration> stop_grace;
+    /// `--slots`: slots of backend servers that the entry can keep busy. Control names as
+    /// many entries to callers as the servers need. 0: as control's `--slots-per-entry`.
+    std::uint32_t slots = 0;
     /// `--max-key-age`: time for which keys of customers are valid after control has last
     /// confirmed the state of the entry. Unlimited if not set.
     std::optional<absl::Duration> max_key_age;
--- a/include/cuminpitch/entry/node.hpp
+++ b/include/cuminpitch/entry/node.hpp
@@ -59,6 +59,8 @@
     std::optional<absl::Duration> stop_timeout;
     /// During a planned stop, each response closes its connection.
     bool closes_when_stopping = false;
+    /// Slots of backend servers that this entry can keep busy; 0: control's setting.
+    std::uint32_t slots = 0;
     /// Keys of customers are valid for this long after control has last confirmed that
     /// this entry has the newest state.
     absl::Duration max_key_age = absl::InfiniteDuration();
--- a/src/control/entry_roster.cpp
+++ b/src/control/entry_roster.cpp
@@ -30,13 +30,27 @@
     return found.size();
 }
 
+std::optional<std::size_t>
+entry_roster::slots_per_entry(absl::Time now, absl::Duration timeout) const
+{
+    std::size_t sum = 0;
+    std::size_t count = 0;
+    for (const auto& [id, it] : entries_) {
+        if (it.slots > 0 && it.is_usable(now, timeout)) {
+            sum += it.slots;
+            ++count;
+        }
+    }
+    return count == 0 ? std::nullopt : std::optional(sum / count);
+}
+
 void entry_roster::receive(absl::Time now, const presence& it)
 {
     auto& known = entries_[it.entry.id];
     if (it.incarnation < known.incarnation) {
         return;
     }
-    known = {it.entry, it.incarnation, it.ready, it.impaired, now};
+    known = {it.entry, it.incarnation, it.ready, it.impaired, it.slots, now};
 }
 
 std::vector<entry_record> entry_roster::choose(
--- a/src/control/entry_roster_priv.hpp
+++ b/src/control/entry_roster_priv.hpp
@@ -6,6 +6,8 @@
 #include <absl/time/time.h>
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace cuminpitch::control {
@@ -42,6 +44,9 @@
         absl::Duration timeout) const;
     /// Number of failure domains with a ready entry heard from within `timeout`.
     std::size_t domains(absl::Time now, absl::Duration timeout) const;
+    /// Mean number of server slots that such an entry can keep busy. Empty if none says.
+    std::optional<std::size_t>
+    slots_per_entry(absl::Time now, absl::Duration timeout) const;
 
 private:
     struct entry
@@ -50,6 +55,7 @@
         std::uint64_t incarnation = 0;
         bool ready = false;
         bool impaired = false;
+        std::uint32_t slots = 0;
         absl::Time last_heard;
 
         bool is_usable(absl::Time now, absl::Duration timeout) const
--- a/src/control/node_calls.cpp
+++ b/src/control/node_calls.cpp
@@ -367,7 +367,8 @@
         options_.entries_per_answer,
         max_entries_per_answer,
         count_server_slots(),
-        options_.slots_per_entry};
+        roster_.slots_per_entry(now_, options_.presence_timeout)
+            .value_or(options_.slots_per_entry)};
     return roster_.choose(
         now_,
         caller_domain,
--- a/src/core/process_settings.cpp
+++ b/src/core/process_settings.cpp
@@ -236,6 +236,14 @@
         duration_setting(absl::ZeroDuration(), absl::Hours(1)),
         stop_limit,
         "0s");
+    parser.add(
+        "slots",
+        "Slots of backend servers that this entry can keep busy, from which control "
+        "derives how many entries it names to callers; 0: as --slots-per-entry of "
+        "control",
+        count_setting(0, max_slots_per_entry),
+        it.slots,
+        "0");
     absl::Duration max_key_age;
     parser.add(
         "max-key-age",
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -72,6 +72,7 @@
         it.presence_interval = presence_interval;
         it.contacts_interval = contacts_interval;
     }
+    it.slots = settings.slots;
     if (settings.max_key_age) {
         it.max_key_age = *settings.max_key_age;
     }
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -458,7 +458,7 @@
             is_impaired ? "paths to servers impaired" : "paths to servers recovered");
     }
     const control::presence it{
-        options_.self, options_.incarnation, is_ready(), is_impaired};
+        options_.self, options_.incarnation, is_ready(), is_impaired, options_.slots};
     for (const auto& to : link_.control()) {
         out_.push_back(send_message(to, it));
     }
--- a/src/wire/control_decoder.cpp
+++ b/src/wire/control_decoder.cpp
@@ -307,6 +307,7 @@
     const bool ok = read(*in.entry(), it.entry, it.incarnation);
     it.ready = in.ready();
     it.impaired = in.impaired();
+    it.slots = in.slots();
     out = std::move(it);
     return ok;
 }
--- a/src/wire/control_encoder.cpp
+++ b/src/wire/control_encoder.cpp
@@ -338,6 +338,7 @@
         body.entry = to_wire(it.entry, it.incarnation);
         body.ready = it.ready;
         body.impaired = it.impaired;
+        body.slots = it.slots;
         const auto at = fb::presence::Pack(to, &body);
         return fb::Createmessage(to, fb::message_body::presence, at.Union());
     }
--- a/tests/control/entry_roster_test.cpp
+++ b/tests/control/entry_roster_test.cpp
@@ -47,6 +47,18 @@
     EXPECT_EQ(choose("a", 1).size(), 1U);
 }
 
+// Guards against naming entries for more work than they can do, and against a figure of
+// entries that callers can't use.
+TEST_F(entry_roster_test, knows_what_entries_can_keep_busy)
+{
+    receive_presence("a1", "a");
+    EXPECT_EQ(roster.slots_per_entry(now, absl::Seconds(2)), std::nullopt);
+    roster.receive(now, {make_entry("a1", "a"), 1, true, false, 6});
+    roster.receive(now, {make_entry("a2", "a"), 1, true, false, 8});
+    roster.receive(now, {make_entry("a3", "a"), 1, false, false, 90});
+    EXPECT_EQ(roster.slots_per_entry(now, absl::Seconds(2)), 7U);
+}
+
 // Guards against directing callers to an entry that is stopping, frozen or killed.
 TEST_F(entry_roster_test, omits_silent_and_stopping_entries)
 {
