--- a/include/cuminpitch/entry/node.hpp
+++ b/include/cuminpitch/entry/node.hpp
@@ -62,6 +62,8 @@
     /// Keys of customers are valid for this long after control has last confirmed that
     /// this entry has the newest state.
     absl::Duration max_key_age = absl::InfiniteDuration();
+    /// Requests are queued and refused by priority, not in the order of their arrival.
+    bool has_ranked_admission = false;
     request::dialect dialect;
     /// Time after startup within which the declarations are expected. Requests that
     /// arrive earlier than these wait for them instead of being refused.
--- a/include/cuminpitch/request/dispatcher.hpp
+++ b/include/cuminpitch/request/dispatcher.hpp
@@ -25,6 +25,9 @@
     /// Enforces the limits on queue length, caller shares and expected wait. Benchmarks
     /// turn it off for comparison.
     bool has_admission_control = true;
+    /// Orders and refuses requests by priority instead of by arrival, and refuses queued
+    /// requests as soon as they can't finish in time. Needs `has_admission_control`.
+    bool is_ranked = false;
     request::dialect dialect;
     /// Emits an `explain` action for each decision.
     bool explains = false;
--- a/include/cuminpitch/request/refusal_reason.hpp
+++ b/include/cuminpitch/request/refusal_reason.hpp
@@ -33,9 +33,12 @@
     deadline_in_queue, ///< The deadline passed in the queue, or too little time was left.
     connect_failed,    ///< No connection to a backend server was made.
     shed,              ///< Backend servers reported that they didn't run the request.
-    timeout,           ///< No response arrived within the deadline.
-    reset,             ///< The connection to the backend server broke.
-    short_response,    ///< The response was truncated.
+    /// The servers reject requests because they are full, and this one has a low
+    /// priority.
+    shed_by_priority,
+    timeout,        ///< No response arrived within the deadline.
+    reset,          ///< The connection to the backend server broke.
+    short_response, ///< The response was truncated.
     response_too_large,
     malformed_response,
     misdirected,     ///< Another server answered at the server's address.
@@ -71,6 +74,7 @@
     refusal_reason::deadline_in_queue,
     refusal_reason::connect_failed,
     refusal_reason::shed,
+    refusal_reason::shed_by_priority,
     refusal_reason::timeout,
     refusal_reason::reset,
     refusal_reason::short_response,
--- a/src/request/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cassert>
 
-namespace cuminpitch::request {
+namespace cuminpitch::admission {
 
 fair_queue::caller_queue& fair_queue::queue_of(const core::caller_id& caller)
 {
@@ -94,6 +94,24 @@
     return out;
 }
 
+std::vector<core::request_id> fair_queue::in_order() const
+{
+    std::vector<const std::deque<core::request_id>*> left;
+    left.reserve(round_robin_.size());
+    for (const auto& caller : round_robin_) {
+        left.push_back(&queues_.at(caller).requests);
+    }
+    std::vector<core::request_id> out;
+    out.reserve(size_);
+    for (std::size_t round = 0; !left.empty(); ++round) {
+        std::erase_if(left, [&](const auto* it) { return it->size() <= round; });
+        for (const auto* requests : left) {
+            out.push_back((*requests)[round]);
+        }
+    }
+    return out;
+}
+
 void fair_queue::erase_if_empty(caller_queues::iterator it)
 {
     if (it->second.requests.empty()) {
@@ -118,4 +136,4 @@
     return out;
 }
 
-} // namespace cuminpitch::request
+} // namespace cuminpitch::admission
--- a/src/request/fair_queue_priv.hpp
+++ b/src/admission/fair_queue_priv.hpp
@@ -9,8 +9,9 @@
 #include <functional>
 #include <list>
 #include <optional>
+#include <vector>
 
-namespace cuminpitch::request {
+namespace cuminpitch::admission {
 
 /// Queue of waiting requests: one FIFO for each caller, served round-robin.
 class fair_queue
@@ -37,6 +38,8 @@
     std::size_t largest() const;
     /// Removes and returns all requests, in the order in which take() would return them.
     std::deque<core::request_id> drain();
+    /// All requests, in the order in which take() would return them.
+    std::vector<core::request_id> in_order() const;
 
 private:
     struct caller_queue
@@ -55,4 +58,4 @@
     std::size_t size_ = 0;
 };
 
-} // namespace cuminpitch::request
+} // namespace cuminpitch::admission
--- a/src/core/process_settings.cpp
+++ b/src/core/process_settings.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t max_entry_peers = 64;
 constexpr std::size_t max_seeds = 64;
 const std::vector<std::string> boolean_values = {"false", "true"};
+const std::vector<std::string> admission_orders = {"arrival-order", "ranked"};
 constexpr std::uint32_t max_entries_per_answer = 64;
 constexpr std::uint32_t max_slots_per_entry = 1'000'000;
 constexpr std::uint32_t max_memory_mb = 1'000'000;
@@ -244,6 +245,13 @@
         duration_setting(absl::ZeroDuration(), absl::Hours(24)),
         max_key_age,
         "0s");
+    std::string admission;
+    parser.add(
+        "admission",
+        "Order in which requests are served, and refused under overload",
+        choice_setting(admission_orders),
+        admission,
+        "arrival-order");
     parser.add(
         "peers",
         "Internal endpoints of entries to query while no control instance is reachable "
@@ -263,6 +271,7 @@
     if (max_key_age > absl::ZeroDuration()) {
         it.max_key_age = max_key_age;
     }
+    it.has_ranked_admission = admission == "ranked";
     if (it.control.empty() == it.seeds.empty()) {
         return bad_setting("control", join(it.control), "either --control or --seeds");
     }
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -75,6 +75,7 @@
     if (settings.max_key_age) {
         it.max_key_age = *settings.max_key_age;
     }
+    it.has_ranked_admission = settings.has_ranked_admission;
     if (settings.stop_grace) {
         it.stop_grace = *settings.stop_grace / 2;
         it.stop_timeout = settings.stop_grace;
--- a/src/entry/node_impl_priv.hpp
+++ b/src/entry/node_impl_priv.hpp
@@ -107,6 +107,7 @@
         request::dispatcher_options it;
         it.dialect = from.dialect;
         it.explains = from.explains;
+        it.is_ranked = from.has_ranked_admission;
         return it;
     }
 
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -38,7 +38,7 @@
     const core::pool_id id = it.pool;
     auto& pool = pools_[id];
     if (!pool) {
-        pool = std::make_unique<pool_state>();
+        pool = std::make_unique<pool_state>(options_.is_ranked);
         pool->set_has_idempotent_route(routes_ && routes_->has_idempotent_route(id));
         ++pools_of_team_[id.team];
     }
@@ -161,6 +161,9 @@
     if (request.customer != nullptr && options_.has_admission_control) {
         request.caller = core::caller_id(request.customer->id.str());
     }
+    if (!why && is_shed(request)) {
+        why = refusal_reason::shed_by_priority;
+    }
     if (!why) {
         why = admit_to_entry(request.pool->id.team);
     }
@@ -234,8 +237,7 @@
     if (longest == nullptr) {
         return false;
     }
-    conclude(
-        *live_.at(*longest->queue().drop_from_largest()), refusal_reason::team_share);
+    conclude(*live_.at(*longest->queue().drop_from_lowest()), refusal_reason::team_share);
     return true;
 }
 
@@ -274,25 +276,31 @@
     if (it.is_retry()) {
         if (pool.is_rate_limited(now_)) {
             if (const auto why =
-                    pool.check_wait(now_, it, pool.expected_wait(now_, it.caller))) {
+                    pool.check_wait(now_, it, pool.expected_wait(now_, it))) {
                 return why;
             }
         }
-        pool.queue().push_front(it.caller, it.id);
+        pool.push_front(now_, it);
     } else {
         if (!pool.has_servers()) {
             return refusal_reason::no_server;
         }
-        std::optional<request_id> evicted;
+        std::optional<pool_state::eviction> evicted;
         if (options_.has_admission_control) {
             if (const auto why = pool.admit(it, now_, evicted)) {
+                if (options_.is_ranked) {
+                    it.refused_wait = pool.expected_wait(now_, it);
+                }
                 return why;
             }
         }
         if (evicted) {
-            conclude(*live_.at(*evicted), refusal_reason::caller_share);
+            conclude(*live_.at(evicted->id), evicted->why);
         }
-        pool.queue().push_back(it.caller, it.id);
+        pool.push_back(now_, it);
+    }
+    if (options_.is_ranked) {
+        waiting_pools_.insert(it.pool->id);
     }
     it.at = live_request::phase::queued;
     it.queued_at = now_;
@@ -317,15 +325,25 @@
         };
         const auto next = pool.take_next(now_, fits);
         if (!next) {
+            if (options_.is_ranked) {
+                refuse_unservable(pool);
+            }
             return;
         }
         live_request& it = *live_.at(*next);
         if (lacks_time(it, pool)) {
-            conclude(it, refusal_reason::deadline_in_queue);
+            conclude(
+                it,
+                options_.is_ranked ? refusal_reason::expected_wait
+                                   : refusal_reason::deadline_in_queue);
         } else {
             send(it, *server);
         }
     }
+    if (options_.is_ranked) {
+        refuse_unservable(pool);
+        return;
+    }
     const auto find = [this](request_id id) -> const live_request& {
         return *live_.at(id);
     };
@@ -334,6 +352,29 @@
     }
 }
 
+/// Refuses the queued requests that can no longer finish in time.
+void dispatcher::impl::refuse_unservable(pool_state& pool)
+{
+    const auto find = [this](request_id id) -> const live_request& {
+        return *live_.at(id);
+    };
+    for (const auto& each : pool.take_unservable(now_, find)) {
+        live_request& it = *live_.at(each.id);
+        it.refused_wait = each.wait;
+        conclude(it, each.why);
+    }
+}
+
+/// Whether the request is refused because the servers reject too many attempts.
+bool dispatcher::impl::is_shed(const live_request& it)
+{
+    if (!options_.is_ranked || it.needs_forwarding) {
+        return false;
+    }
+    pool_state& pool = *pool_of(it);
+    return pool.shedder().refuses(now_, pool.rank_of(it), it.caller, retry_random_);
+}
+
 /// `count` is the number of requests that wait for a server, including this one.
 const server_view* dispatcher::impl::pick_server(live_request& it, std::uint32_t count)
 {
@@ -362,7 +403,7 @@
         {{"after_ms", absl::ToInt64Milliseconds(now_ - request.received)}});
     const core::pool_id id = request.pool->id;
     if (request.at == live_request::phase::queued) {
-        pool_of(request)->queue().remove(request.caller, request.id);
+        pool_of(request)->remove_queued(request);
     } else if (request.at != live_request::phase::awaiting_permit) {
         out_.emplace_back(cancel_attempt{request.attempt});
         end_attempt(request);
@@ -404,6 +445,13 @@
     for (const auto& id : rate_limited_pools_) {
         dispatch_queued(*pools_.at(id));
     }
+    absl::erase_if(waiting_pools_, [this](const core::pool_id& id) {
+        const auto found = pools_.find(id);
+        return found == pools_.end() || found->second->queue().size() == 0;
+    });
+    for (const auto& id : waiting_pools_) {
+        dispatch_queued(*pools_.at(id));
+    }
     while (!timers_.empty() && timers_.begin()->first <= now_) {
         live_request& it = *live_.at(timers_.begin()->second);
         if (it.at == live_request::phase::awaiting_permit) {
@@ -411,7 +459,7 @@
             continue;
         }
         if (it.at == live_request::phase::queued) {
-            pool_of(it)->queue().remove(it.caller, it.id);
+            pool_of(it)->remove_queued(it);
             conclude(it, refusal_reason::deadline_in_queue);
             continue;
         }
--- a/src/request/dispatcher_attempts.cpp
+++ b/src/request/dispatcher_attempts.cpp
@@ -30,6 +30,7 @@
         refusal_reason::malformed_request,
         refusal_reason::request_too_large,
         refusal_reason::shed,
+        refusal_reason::shed_by_priority,
         refusal_reason::queue_full,
         refusal_reason::caller_share,
         refusal_reason::expected_wait,
@@ -262,6 +263,11 @@
     if (outcome.evidence == observation::kind::success) {
         pool.count_service_time(result.elapsed);
     }
+    if (options_.is_ranked && (outcome.evidence == observation::kind::success ||
+                               outcome.evidence == observation::kind::shed)) {
+        pool.shedder().count_attempt(
+            now_, outcome.evidence == observation::kind::shed, result.elapsed);
+    }
     it.tried.push_back(it.server);
     it.sends += outcome.failure == refusal_reason::connect_failed ? 0 : 1;
     end_attempt(it);
@@ -317,6 +323,11 @@
         why = "no-other-server";
     } else if (!has_attempts_left(it)) {
         why = "attempts-spent";
+    } else if (
+        options_.is_ranked && outcome.evidence == observation::kind::shed &&
+        pool.shedder().is_cut(now_, it.rank(), it.caller)) {
+        // Leaves the retry budget to requests that the servers should not have rejected.
+        why = "shed-by-priority";
     } else if (!needs_no_budget && !pool.budget().take()) {
         counters_.add("cuminpitch_retries_over_budget_total", pool_label(it));
         why = "budget";
--- a/src/request/dispatcher_impl_priv.hpp
+++ b/src/request/dispatcher_impl_priv.hpp
@@ -62,6 +62,8 @@
     std::optional<refusal_reason> enqueue(live_request& it);
     void send(live_request& it, const server_view& server);
     void dispatch_queued(pool_state& pool);
+    void refuse_unservable(pool_state& pool);
+    bool is_shed(const live_request& it);
     const server_view* pick_server(live_request& it, std::uint32_t count);
     bool lacks_time(const live_request& it, const pool_state& pool) const;
 
@@ -85,6 +87,10 @@
     void refuse_request(live_request& it, refusal_reason why, core::verdict verdict);
     absl::Duration retry_after(const live_request& it, refusal_reason why) const;
     absl::Duration jittered_retry_after() const;
+    /// The wait, longer by up to half at random so that callers don't retry together.
+    absl::Duration spread_retry_after(absl::Duration wait) const;
+    void count_admission_refusal(const live_request& it, refusal_reason why);
+    std::vector<telemetry::field> admission_fields(const live_request& it) const;
     std::vector<std::string> other_entries(const live_request& it) const;
 
     void explain_decision(
@@ -132,6 +138,8 @@
     /// Pools of which all servers have rate limits. Their queued requests are looked at
     /// in each tick, as permits expire and requests for permits are repeated.
     absl::flat_hash_set<core::pool_id> rate_limited_pools_;
+    /// Ranked pools with queued requests, whose waits are predicted again in each tick.
+    absl::btree_set<core::pool_id> waiting_pools_;
     absl::btree_map<core::team_id, std::size_t> pools_of_team_;
     team_shares teams_;
 
--- a/src/request/dispatcher_responses.cpp
+++ b/src/request/dispatcher_responses.cpp
@@ -205,7 +205,9 @@
     if (it.customer != nullptr) {
         inputs.push_back({"customer", it.customer->id.str()});
     }
+    append(inputs, admission_fields(it));
     explain_decision(it, "refused", std::move(inputs));
+    count_admission_refusal(it, why);
     auto response = http::refusal_response(refusal);
     if (it.is_from_entry) {
         response.headers.set(std::string(http::verdict_header), core::to_string(verdict));
@@ -214,6 +216,39 @@
     erase_request(it);
 }
 
+/// Inputs of the decisions of a ranked pool.
+std::vector<telemetry::field>
+dispatcher::impl::admission_fields(const live_request& it) const
+{
+    pool_state* pool = it.pool == nullptr ? nullptr : pool_of(it);
+    if (!options_.is_ranked || pool == nullptr) {
+        return {};
+    }
+    const auto& shedder = pool->shedder();
+    return {
+        {"rank", static_cast<std::int64_t>(it.rank())},
+        {"expected_wait_ms", absl::ToInt64Milliseconds(it.refused_wait)},
+        {"queued", static_cast<std::int64_t>(pool->queue().size())},
+        {"rejected_share", shedder.rejected_share()},
+        {"refused_share", shedder.refused_share()},
+        {"slowdown", shedder.slowdown()}};
+}
+
+void dispatcher::impl::count_admission_refusal(const live_request& it, refusal_reason why)
+{
+    constexpr std::uint32_t last_class = 7;
+    const bool is_by_priority = why == refusal_reason::shed_by_priority ||
+                                why == refusal_reason::expected_wait ||
+                                why == refusal_reason::queue_full;
+    if (!options_.is_ranked || !is_by_priority) {
+        return;
+    }
+    auto at = pool_label(it);
+    at.emplace_back("priority", std::to_string(std::min(it.rank(), last_class)));
+    at.emplace_back("reason", to_string(why));
+    counters_.add("cuminpitch_admission_refusals_total", at);
+}
+
 /// Logged once for each request, as a queued request may be withheld many times.
 void dispatcher::impl::explain_withheld(live_request& it, const server_view& server)
 {
@@ -258,6 +293,13 @@
     return absl::Milliseconds(min_ms + spread);
 }
 
+absl::Duration dispatcher::impl::spread_retry_after(absl::Duration wait) const
+{
+    constexpr std::uint64_t steps = 1000;
+    const auto spread = wait / 2 * (retry_random_() % steps) / steps;
+    return std::clamp(wait + spread, min_retry_after, max_retry_after);
+}
+
 absl::Duration
 dispatcher::impl::retry_after(const live_request& it, refusal_reason why) const
 {
@@ -284,16 +326,23 @@
         const auto spread = wait / spread_divisor * (retry_random_() % steps) / steps;
         return wait + jittered_retry_after() + spread;
     }
+    if (it.refused_wait > absl::ZeroDuration()) {
+        return spread_retry_after(it.refused_wait);
+    }
+    if (why == refusal_reason::shed_by_priority) {
+        return spread_retry_after(
+            pool->shedder().time_to_capacity() + jittered_retry_after());
+    }
     if (pool != nullptr && pool->is_rate_limited(now_)) {
-        const auto wait = pool->expected_wait(now_, it.caller) + jittered_retry_after();
+        const auto wait = pool->expected_wait(now_, it) + jittered_retry_after();
         return std::clamp(wait, min_retry_after, max_retry_after);
     }
     if (!has_queue && pool != nullptr && pool->last_update().settings.every_entry) {
         return jittered_retry_after();
     }
-    const auto wait =
-        has_queue ? pool->expected_wait(now_, it.caller) : default_retry_after;
-    return std::clamp(wait, min_retry_after, max_retry_after);
+    const auto wait = has_queue ? pool->expected_wait(now_, it) : default_retry_after;
+    return options_.is_ranked ? spread_retry_after(wait)
+                              : std::clamp(wait, min_retry_after, max_retry_after);
 }
 
 std::vector<std::string> dispatcher::impl::other_entries(const live_request& it) const
--- a/src/request/live_request_priv.hpp
+++ b/src/request/live_request_priv.hpp
@@ -72,6 +72,8 @@
     /// succeeds.
     std::optional<http::response> fallback;
 
+    /// Why the request was refused: the wait that was expected; zero if there was none.
+    absl::Duration refused_wait;
     /// Expected time until the customer's rate allows a request.
     absl::Duration permit_wait;
     /// A server was left out because of its rate limit.
--- a/src/request/pool_state.cpp
+++ b/src/request/pool_state.cpp
@@ -301,76 +301,116 @@
 }
 
 std::optional<refusal_reason> pool_state::admit(
-    const live_request& it, absl::Time now, std::optional<request_id>& evicted)
+    const live_request& it, absl::Time now, std::optional<eviction>& evicted)
 {
     const std::size_t limit = last_update_.settings.queue_limit;
-    const std::size_t own = queue_.size(it.caller);
+    const std::uint32_t rank = rank_of(it);
+    const std::size_t own = queue_.size(rank, it.caller);
     if (own == 0) {
-        dequeue_rates_.erase(
-            it.caller); // Left from when the caller last had requests queued.
+        // Left from when the caller last had requests queued.
+        dequeue_rates_.erase({rank, it.caller});
     }
-    const bool has_others = queue_.callers() > (own > 0 ? 1U : 0U);
-    if (has_others && own + 1 > share_of(limit)) {
+    if (queue_.has_other_callers(rank, it.caller) &&
+        queue_.size(it.caller) + 1 > share_of(limit)) {
         return refusal_reason::caller_share;
     }
     const double margin = is_rate_limited(now) ? permit_wait_margin : 1;
-    if (const auto why = check_wait(now, it, margin * expected_wait(now, it.caller))) {
+    if (const auto why = check_wait(now, it, margin * expected_wait(now, it))) {
         return why;
     }
     if (queue_.size() < limit) {
         return std::nullopt;
     }
-    if (own + 1 < queue_.largest()) {
-        evicted = queue_.drop_from_largest();
+    const auto lowest = queue_.lowest_rank();
+    if (lowest && *lowest > rank) {
+        evicted = {*queue_.drop_from_lowest(), refusal_reason::queue_full};
+        return std::nullopt;
+    }
+    if (lowest == rank && own + 1 < queue_.largest(rank)) {
+        evicted = {*queue_.drop_from_lowest(), refusal_reason::caller_share};
         return std::nullopt;
     }
     return refusal_reason::queue_full;
 }
 
+void pool_state::push_back(absl::Time now, const live_request& it)
+{
+    last_dequeue_ = queue_.size() == 0 ? now : last_dequeue_;
+    queue_.push_back(rank_of(it), it.caller, it.id);
+    if (is_ranked_) {
+        queue_.set_share(rank_of(it), shedder_.share_of(now, rank_of(it)));
+    }
+}
+
+void pool_state::push_front(absl::Time now, const live_request& it)
+{
+    last_dequeue_ = queue_.size() == 0 ? now : last_dequeue_;
+    queue_.push_front(rank_of(it), it.caller, it.id);
+}
+
+void pool_state::remove_queued(const live_request& it)
+{
+    queue_.remove(rank_of(it), it.caller, it.id);
+}
+
 std::optional<request_id>
-pool_state::take_next(absl::Time now, const fair_queue::acceptor& fits)
+pool_state::take_next(absl::Time now, const admission::ranked_queue::acceptor& fits)
 {
     const std::size_t share = share_of(slots());
-    core::caller_id dequeued_caller;
-    const auto any = [&](const core::caller_id& caller, request_id it) {
-        dequeued_caller = caller;
-        return fits(caller, it);
-    };
     const auto below_share = [&](const core::caller_id& caller, request_id it) {
         const auto held = slots_by_caller_.find(caller);
         return (held == slots_by_caller_.end() || held->second < share) &&
-               any(caller, it);
+               fits(caller, it);
     };
-    auto out = queue_.take(below_share);
+    const auto out = queue_.take(below_share, fits);
     if (!out) {
-        out = queue_.take(any);
+        return std::nullopt;
     }
-    if (out) {
-        record_dequeue(dequeued_caller, now);
+    if (is_ranked_) {
+        dequeue_seconds_.add(now, absl::ToDoubleSeconds(now - last_dequeue_));
     }
-    return out;
+    last_dequeue_ = now;
+    record_dequeue(*out, now);
+    return out->id;
 }
 
-void pool_state::record_dequeue(const core::caller_id& caller, absl::Time now)
+void pool_state::dequeue_rate::count(absl::Time now)
 {
-    if (queue_.size(caller) == 0) {
-        dequeue_rates_.erase(caller);
+    const absl::Duration since = now - last;
+    interval = samples == 0 ? since : interval + (since - interval) * ewma_weight;
+    last = now;
+    ++samples;
+}
+
+absl::Duration pool_state::dequeue_rate::time_for(std::size_t n) const
+{
+    return samples < min_dequeue_samples ? absl::ZeroDuration()
+                                         : interval * static_cast<double>(n);
+}
+
+void pool_state::record_dequeue(const admission::taken_request& it, absl::Time now)
+{
+    if (is_ranked_) {
+        if (queue_.size(it.rank) == 0) {
+            rank_rates_.erase(it.rank);
+        } else if (const auto [rate, is_new] =
+                       rank_rates_.try_emplace(it.rank, dequeue_rate{now, {}, 0});
+                   !is_new) {
+            rate->second.count(now);
+        }
+    }
+    const caller_key key{it.rank, it.caller};
+    if (is_empty(key)) {
+        dequeue_rates_.erase(key);
         return;
     }
     if (dequeue_rates_.size() > 2 * queue_.callers()) {
         absl::erase_if(
-            dequeue_rates_, [&](const auto& it) { return queue_.size(it.first) == 0; });
+            dequeue_rates_, [&](const auto& each) { return is_empty(each.first); });
     }
-    const auto [found, is_new] =
-        dequeue_rates_.try_emplace(caller, dequeue_rate{now, {}, 0});
-    dequeue_rate& it = found->second;
+    const auto [rate, is_new] = dequeue_rates_.try_emplace(key, dequeue_rate{now, {}, 0});
     if (!is_new) {
-        const absl::Duration interval = now - it.last;
-        it.interval = it.samples == 0
-                          ? interval
-                          : it.interval + (interval - it.interval) * ewma_weight;
-        it.last = now;
-        ++it.samples;
+        rate->second.count(now);
     }
 }
 
@@ -423,32 +463,91 @@
         return std::nullopt;
     }
     const auto wait = time_to_send(now, static_cast<double>(queue_.size()));
-    const auto last = *queue_.drop_from_largest();
+    const auto last = *queue_.drop_from_lowest();
     const auto& it = find(last);
     if (check_wait(now, it, wait)) {
         return last;
     }
-    queue_.push_back(it.caller, last);
+    push_back(now, it);
     return std::nullopt;
 }
 
-absl::Duration
-pool_state::expected_wait(absl::Time now, const core::caller_id& caller) const
+absl::Duration pool_state::recent_dequeue_interval(absl::Time now) const
+{
+    return dequeue_seconds_.is_valid(now) ? absl::Seconds(dequeue_seconds_.value())
+                                          : absl::ZeroDuration();
+}
+
+absl::Duration pool_state::stalled_for(absl::Time now) const
+{
+    // With exponential service times, one interval in 55 is longer by chance.
+    constexpr int max_intervals = 4;
+    if (!is_ranked_ || queue_.size() == 0) {
+        return absl::ZeroDuration();
+    }
+    const auto interval = std::max(
+        time_to_send(now, 2) - time_to_send(now, 1), recent_dequeue_interval(now));
+    const absl::Duration since = now - last_dequeue_;
+    return is_rate_limited(now) || since <= max_intervals * interval
+               ? absl::ZeroDuration()
+               : since;
+}
+
+std::vector<pool_state::unservable> pool_state::take_unservable(
+    absl::Time now, const std::function<const live_request&(request_id)>& find)
+{
+    std::vector<unservable> out;
+    if (!is_ranked_ || queue_.size() == 0) {
+        return out;
+    }
+    const auto first = time_to_send(now, 1);
+    const auto interval =
+        std::max(time_to_send(now, 2) - first, recent_dequeue_interval(now));
+    const auto stall = stalled_for(now);
+    for (const std::uint32_t rank : queue_.ranks()) {
+        const std::size_t left_above = out.size();
+        std::size_t place = 1;
+        for (const request_id id : queue_.in_order(rank)) {
+            const double ahead = queue_.place(rank, place, left_above) - 1;
+            const auto wait = std::max(first + interval * ahead, stall);
+            if (const auto why = check_wait(now, find(id), wait)) {
+                out.push_back({id, *why, wait});
+            } else {
+                ++place;
+            }
+        }
+    }
+    std::reverse(out.begin(), out.end());
+    for (const auto& it : out) {
+        remove_queued(find(it.id));
+    }
+    return out;
+}
+
+absl::Duration pool_state::expected_wait(absl::Time now, const live_request& it) const
 {
     // Callers are served round-robin, so a caller with more requests than this one delays
     // it by no more than a caller with as many.
-    const std::size_t own = queue_.size(caller) + 1;
-    const std::size_t in_turn = own * (queue_.callers() + (own == 1 ? 1 : 0));
-    const auto ahead = static_cast<double>(std::min(in_turn, queue_.size() + 1));
-    const auto estimate = time_to_send(now, ahead);
-    // New requests of callers with few requests overtake those of a caller with many. The
-    // interval at which its requests left the queue shows by how much.
-    const auto dequeue_rate = dequeue_rates_.find(caller);
-    if (dequeue_rate == dequeue_rates_.end() ||
-        dequeue_rate->second.samples < min_dequeue_samples) {
-        return estimate;
-    }
-    return std::max(estimate, dequeue_rate->second.interval * static_cast<double>(own));
+    const std::uint32_t rank = rank_of(it);
+    const std::size_t own = queue_.size(rank, it.caller) + 1;
+    const std::size_t in_turn = own * (queue_.callers(rank) + (own == 1 ? 1 : 0));
+    const std::size_t in_rank = std::min(in_turn, queue_.size(rank) + 1);
+    const double place = queue_.place(rank, in_rank);
+    auto out = std::max(time_to_send(now, place), stalled_for(now));
+    if (is_ranked_) {
+        out = std::max(out, recent_dequeue_interval(now) * place);
+    }
+    // New requests of callers with few requests overtake those of a caller with many, and
+    // those of a higher priority all others. The interval at which the requests left the
+    // queue shows by how much.
+    if (const auto rate = dequeue_rates_.find(caller_key{rank, it.caller});
+        rate != dequeue_rates_.end()) {
+        out = std::max(out, rate->second.time_for(own));
+    }
+    if (const auto rate = rank_rates_.find(rank); rate != rank_rates_.end()) {
+        out = std::max(out, rate->second.time_for(in_rank));
+    }
+    return out;
 }
 
 void pool_state::count_service_time(absl::Duration it)
--- a/src/request/pool_state_priv.hpp
+++ b/src/request/pool_state_priv.hpp
@@ -1,8 +1,9 @@
 #pragma once
 
+#include "admission/load_shedder_priv.hpp"
+#include "admission/ranked_queue_priv.hpp"
 #include "cuminpitch/core/random.hpp"
 #include "cuminpitch/request/events.hpp"
-#include "fair_queue_priv.hpp"
 #include "live_request_priv.hpp"
 #include "retry_budget_priv.hpp"
 
@@ -24,7 +25,8 @@
 class pool_state
 {
 public:
-    pool_state() : budget_(0) {}
+    /// `is_ranked`: requests are ordered by priority instead of by arrival.
+    explicit pool_state(bool is_ranked = false) : is_ranked_(is_ranked), budget_(0) {}
 
     void update(pool_update it);
     const pool_update& last_update() const { return last_update_; }
@@ -75,14 +77,32 @@
     void release(const core::server_id& server, const core::caller_id& caller);
     std::size_t in_flight() const { return in_flight_; }
 
+    /// The place of the request in the order of priority. The same for all requests
+    /// unless the pool is ranked.
+    std::uint32_t rank_of(const live_request& it) const
+    {
+        return is_ranked_ ? it.rank() : 0;
+    }
+    /// A request that is refused to make room for another one.
+    struct eviction
+    {
+        request_id id;
+        refusal_reason why = refusal_reason::queue_full;
+    };
     /// Returns why the request may not be queued, if it may not. If the queue is full and
-    /// another caller has more requests in it, that caller's newest request is removed
-    /// and returned in `evicted`, to be refused.
+    /// another caller of the lowest priority has more requests in it, or there are
+    /// requests of a lower priority, the newest of these is removed and returned in
+    /// `evicted`, to be refused.
     std::optional<refusal_reason>
-    admit(const live_request& it, absl::Time now, std::optional<request_id>& evicted);
+    admit(const live_request& it, absl::Time now, std::optional<eviction>& evicted);
+    void push_back(absl::Time now, const live_request& it);
+    /// Puts a retry, which has waited already, before the caller's other requests.
+    void push_front(absl::Time now, const live_request& it);
+    void remove_queued(const live_request& it);
     /// Removes and returns the next queued request that `fits` accepts. Callers below
-    /// their share of the slots come first.
-    std::optional<request_id> take_next(absl::Time now, const fair_queue::acceptor& fits);
+    /// their share of the slots come first among requests of the same priority.
+    std::optional<request_id>
+    take_next(absl::Time now, const admission::ranked_queue::acceptor& fits);
 
     /// A request with less time left than this isn't sent. It would often be cancelled at
     /// its deadline, which leaves its outcome unknown and takes a slot from a request
@@ -91,8 +111,9 @@
     /// service time.
     absl::Duration min_remaining_time(const live_request& it) const;
 
-    /// Expected time in the queue of a new request of this caller.
-    absl::Duration expected_wait(absl::Time now, const core::caller_id& caller) const;
+    /// Expected time in the queue of a new request of the same caller and priority.
+    /// Counts what leaves the queue before it.
+    absl::Duration expected_wait(absl::Time now, const live_request& it) const;
     /// Why a request that waits this long would miss its deadline, if it would.
     std::optional<refusal_reason>
     check_wait(absl::Time now, const live_request& it, absl::Duration wait) const;
@@ -100,6 +121,17 @@
     /// allow before its deadline, if there is one. `find` returns the request of an id.
     std::optional<request_id> drop_unservable(
         absl::Time now, const std::function<const live_request&(request_id)>& find);
+    /// A queued request that can't finish before its deadline.
+    struct unservable
+    {
+        request_id id;
+        refusal_reason why = refusal_reason::expected_wait;
+        absl::Duration wait; ///< How long it would have to wait.
+    };
+    /// Predicts again how long the queued requests will wait, and removes those that
+    /// can't finish before their deadlines, lowest priority first. For a ranked pool.
+    std::vector<unservable> take_unservable(
+        absl::Time now, const std::function<const live_request&(request_id)>& find);
     void count_service_time(absl::Duration it);
     /// Moving average over successful attempts; zero before the first.
     absl::Duration service_time() const { return service_time_; }
@@ -108,9 +140,11 @@
     /// attempts have succeeded.
     absl::Duration overdue_after() const;
 
-    fair_queue& queue() { return queue_; }
-    const fair_queue& queue() const { return queue_; }
+    admission::ranked_queue& queue() { return queue_; }
+    const admission::ranked_queue& queue() const { return queue_; }
     retry_budget& budget() { return budget_; }
+    admission::load_shedder& shedder() { return shedder_; }
+    const admission::load_shedder& shedder() const { return shedder_; }
 
 private:
     struct server_slots
@@ -127,17 +161,32 @@
         }
     };
 
-    /// How often requests of a caller left the queue while more of its requests waited.
+    /// How often requests of a caller, or of a priority, left the queue while more of
+    /// them waited.
     struct dequeue_rate
     {
         absl::Time last;
         absl::Duration interval;
         int samples = 0;
+
+        void count(absl::Time now);
+        /// Expected time until `n` requests have left; zero if too few have yet.
+        absl::Duration time_for(std::size_t n) const;
     };
+    using caller_key = std::pair<std::uint32_t, core::caller_id>;
 
     bool is_eligible(
         absl::Time now, const server_slots& it, const live_request& request) const;
-    void record_dequeue(const core::caller_id& caller, absl::Time now);
+    void record_dequeue(const admission::taken_request& it, absl::Time now);
+    bool is_empty(const caller_key& it) const
+    {
+        return queue_.size(it.first, it.second) == 0;
+    }
+    /// Lower bound of the wait of all queued requests if none has left for unusually
+    /// long: servers that hang say nothing, and their service time stays what it was.
+    absl::Duration stalled_for(absl::Time now) const;
+    /// Between requests that left the queue while others waited; zero if unknown.
+    absl::Duration recent_dequeue_interval(absl::Time now) const;
     std::size_t share_of(std::size_t total) const;
     /// Expected time until the last of `requests` requests is sent.
     absl::Duration time_to_send(absl::Time now, double requests) const;
@@ -147,8 +196,15 @@
     bool has_idempotent_route_ = false;
     std::size_t in_flight_ = 0;
     absl::flat_hash_map<core::caller_id, std::size_t> slots_by_caller_;
-    absl::flat_hash_map<core::caller_id, dequeue_rate> dequeue_rates_;
-    fair_queue queue_;
+    const bool is_ranked_;
+    absl::flat_hash_map<caller_key, dequeue_rate> dequeue_rates_;
+    /// By priority; empty unless the pool is ranked.
+    absl::flat_hash_map<std::uint32_t, dequeue_rate> rank_rates_;
+    admission::ranked_queue queue_;
+    /// When a request last left the queue, or entered it while it was empty.
+    absl::Time last_dequeue_ = absl::InfinitePast();
+    admission::recent_average dequeue_seconds_;
+    admission::load_shedder shedder_;
     retry_budget budget_;
     absl::Duration service_time_;
     absl::Duration service_deviation_; ///< Moving average of the distance from the mean.
--- a/src/request/refusal_reason.cpp
+++ b/src/request/refusal_reason.cpp
@@ -72,6 +72,8 @@
         return {"connect-failed", unavailable, retry_class::later};
     case refusal_reason::shed:
         return {"shed", unavailable, retry_class::later};
+    case refusal_reason::shed_by_priority:
+        return {"shed-by-priority", unavailable, retry_class::later};
     case refusal_reason::timeout:
         return {"timeout", gateway_timeout, retry_class::unknown_outcome};
     case refusal_reason::reset:
--- a/tests/core/process_settings_test.cpp
+++ b/tests/core/process_settings_test.cpp
@@ -117,6 +117,22 @@
 
 // Guards against a process that starts with a read-only data folder. /proc is not
 // writable for root either.
+// Guards against a fleet that refuses by priority without having been asked to.
+TEST(process_settings, admission_is_in_arrival_order_unless_set)
+{
+    auto entry = entry_arguments();
+    EXPECT_FALSE(std::get<entry_settings>(parse_with(parse_entry_settings, entry))
+                     .has_ranked_admission);
+    entry["--admission"] = "ranked";
+    EXPECT_TRUE(std::get<entry_settings>(parse_with(parse_entry_settings, entry))
+                    .has_ranked_admission);
+    entry["--admission"] = "sorted";
+    EXPECT_EQ(
+        error_line(parse_entry_settings, entry),
+        "setting --admission: value 'sorted' is not allowed: one of arrival-order, "
+        "ranked");
+}
+
 TEST(process_settings, refuses_data_folder_that_is_not_writable)
 {
     auto from = control_arguments();
