--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,12 +3,12 @@
 #include "cuminpitch/http/refusal.hpp"
 #include "disconnect_watcher_priv.hpp"
 #include "lingering_closer_priv.hpp"
+#include "request_checks_priv.hpp"
 #include "suspended_exchange_priv.hpp"
 #include "target_priv.hpp"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_set.h>
-#include <absl/strings/match.h>
 #include <absl/synchronization/mutex.h>
 #include <arpa/inet.h>
 #include <microhttpd.h>
@@ -23,12 +23,6 @@
 namespace cuminpitch::http {
 namespace {
 
-/// A refused body is read and discarded up to this size, so that the caller finishes
-/// sending and reads the refusal instead of seeing a connection reset.
-constexpr std::uint64_t discard_limit_bytes = 64U << 20U;
-/// Holds the request line, the headers and one block of the body.
-constexpr std::size_t connection_memory_bytes = 64U << 10U;
-
 /// A request that libmicrohttpd is receiving.
 struct incoming
 {
@@ -42,18 +36,6 @@
     bool is_head = false;
 };
 
-refusal not_run_refusal(int status, const char* reason)
-{
-    return {status, core::verdict::not_run, reason, absl::ZeroDuration(), {}};
-}
-
-refusal memory_refusal()
-{
-    auto it = not_run_refusal(503, "memory");
-    it.retry_after = absl::Seconds(1);
-    return it;
-}
-
 std::string peer_of(MHD_Connection* connection)
 {
     const auto* info =
@@ -80,23 +62,6 @@
     return MHD_YES;
 }
 
-/// False if the length of the body is ambiguous, so that two parsers could disagree on
-/// where the next request begins, or if there are several Host headers.
-bool has_unambiguous_framing(const headers& fields)
-{
-    int lengths = 0;
-    int codings = 0;
-    int hosts = 0;
-    for (const auto& [name, value] : fields.fields()) {
-        lengths += absl::EqualsIgnoreCase(name, "Content-Length") ? 1 : 0;
-        hosts += absl::EqualsIgnoreCase(name, "Host") ? 1 : 0;
-        if (absl::EqualsIgnoreCase(name, "Transfer-Encoding")) {
-            codings += absl::EqualsIgnoreCase(value, "chunked") ? 1 : 2;
-        }
-    }
-    return lengths + codings <= 1 && hosts <= 1;
-}
-
 class microhttpd_server : public server
 {
 public:
@@ -190,7 +155,7 @@
         MHD_OPTION_CONNECTION_TIMEOUT,
         idle,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-        connection_memory_bytes,
+        head_limit_bytes, // Holds also one block of the body.
         MHD_OPTION_STRICT_FOR_CLIENT,
         1,
         MHD_OPTION_URI_LOG_CALLBACK,
