Add an HTTP server that reads pipelined requests

libmicrohttpd hands over a request only after the one before it on its connection is answered, so callers that pipeline wait for each response: three requests of 400 ms sent at once started at 0, 400 and 802 ms.

server_options::pipeline_depth above 1 selects a server that reads up to that many requests of a connection while earlier ones run and writes the responses in order. It uses the parser of Boost.Beast on an epoll loop of its own: the reactor of Boost.Asio 1.74 doesn't ask epoll for EPOLLRDHUP, so it can't report a caller that leaves while reading is paused, and responses of other threads would need a wake-up each. With the default depth of 1, the libmicrohttpd server is used as before.

--- a/include/cuminpitch/http/server.hpp
+++ b/include/cuminpitch/http/server.hpp
@@ -47,9 +47,14 @@
     std::uint64_t small_body_bytes = 16U << 10U;
     unsigned connection_limit = 2048;
     absl::Duration idle_timeout = absl::Seconds(60);
+    /// Requests of a connection that may be open at the same time. With 1, the next
+    /// request is read after the response to the one before it. Responses are sent in the
+    /// order of the requests in any case.
+    unsigned pipeline_depth = 1;
 };
 
-/// HTTP/1.1 server on libmicrohttpd. Requests whose body length is ambiguous (both
+/// HTTP/1.1 server: on libmicrohttpd for a pipeline depth of 1, otherwise on an epoll loop
+/// with the parser of Boost.Beast (docs/design/pipelining.md). Requests whose body length is ambiguous (both
 /// Content-Length and Transfer-Encoding, several lengths, an unknown coding) get status
 /// 400 (not-run).
 class server
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,6 +3,7 @@
 #include "cuminpitch/http/refusal.hpp"
 #include "disconnect_watcher_priv.hpp"
 #include "lingering_closer_priv.hpp"
+#include "pipelined_server_priv.hpp"
 #include "request_checks_priv.hpp"
 #include "suspended_exchange_priv.hpp"
 #include "target_priv.hpp"
@@ -375,6 +376,9 @@
 
 core::result<std::unique_ptr<server>> server::create(server_options options, handler it)
 {
+    if (options.pipeline_depth > 1) {
+        return pipelined_server::create(std::move(options), std::move(it));
+    }
     auto out = std::make_unique<microhttpd_server>(std::move(options), std::move(it));
     if (!out->start()) {
         return core::make_error_code(core::errc::address_in_use);
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -14,18 +14,25 @@
 namespace cuminpitch::http {
 namespace {
 
-server_options on_loopback()
+/// With each implementation; the parameter is the pipeline depth.
+class server_test : public testing::TestWithParam<unsigned>
 {
-    server_options it;
-    it.listen = {"127.0.0.1", 0};
-    return it;
-}
+protected:
+    static server_options on_loopback()
+    {
+        server_options it;
+        it.listen = {"127.0.0.1", 0};
+        it.pipeline_depth = GetParam();
+        return it;
+    }
 
-std::unique_ptr<server> start(server::handler it, server_options at = on_loopback())
-{
-    auto out = server::create(std::move(at), std::move(it));
-    return out ? std::move(out).value() : nullptr;
-}
+    static std::unique_ptr<server>
+    start(server::handler it, server_options at = on_loopback())
+    {
+        auto out = server::create(std::move(at), std::move(it));
+        return out ? std::move(out).value() : nullptr;
+    }
+};
 
 void echo(const request& it, const std::shared_ptr<exchange>& to)
 {
@@ -51,7 +58,7 @@
 
 // Guards against chunked bodies that are lost or reordered, and against decoding of the
 // target.
-TEST(server, reads_chunked_bodies_and_raw_targets)
+TEST_P(server_test, reads_chunked_bodies_and_raw_targets)
 {
     const auto it = start(echo);
     const raw_caller caller(it->listening().port);
@@ -64,7 +71,7 @@
 }
 
 // Guards against callers that wait indefinitely for the status 100 before they send.
-TEST(server, answers_expect_100_continue)
+TEST_P(server_test, answers_expect_100_continue)
 {
     const auto it = start(echo);
     const raw_caller caller(it->listening().port);
@@ -76,7 +83,7 @@
 }
 
 // Guards against accepting requests whose end two parsers would see at different places.
-TEST(server, rejects_ambiguous_framing)
+TEST_P(server_test, rejects_ambiguous_framing)
 {
     std::atomic<int> handled{0};
     const auto it = start([&](const request& in, const std::shared_ptr<exchange>& to) {
@@ -106,7 +113,7 @@
 
 // Guards against losing a refusal: closing a socket with unread input resets the
 // connection, and the reset discards what the caller has not read yet.
-TEST(server, refusal_outlives_input_that_comes_later)
+TEST_P(server_test, refusal_outlives_input_that_comes_later)
 {
     const auto it = start(&echo);
     const raw_caller caller(it->listening().port);
@@ -123,7 +130,7 @@
 }
 
 // Guards against bodies without a size limit, and against refusals without a verdict.
-TEST(server, refuses_long_bodies_as_not_run)
+TEST_P(server_test, refuses_long_bodies_as_not_run)
 {
     auto options = on_loopback();
     options.max_body_bytes = 8;
@@ -147,7 +154,7 @@
 }
 
 // Guards against running out of memory while many large requests are pending.
-TEST(server, refuses_new_bodies_while_too_many_are_held)
+TEST_P(server_test, refuses_new_bodies_while_too_many_are_held)
 {
     auto options = on_loopback();
     options.max_held_bytes = 10;
@@ -182,7 +189,7 @@
 // Guards against work for callers that have disconnected: the disconnect must be detected
 // within 50 ms while the request is pending. Checks the median of several callers, so
 // that one delay on a busy machine does not fail the test.
-TEST(server, notices_a_caller_that_leaves)
+TEST_P(server_test, notices_a_caller_that_leaves)
 {
     constexpr int callers = 5;
     std::atomic<int> gone{0};
@@ -210,7 +217,7 @@
 }
 
 // Guards against crashes and hangs when the server stops while requests are pending.
-TEST(server, stops_while_requests_wait)
+TEST_P(server_test, stops_while_requests_wait)
 {
     std::shared_ptr<exchange> waiting;
     std::atomic<int> handled{0};
@@ -228,7 +235,7 @@
 
 // Guards against a response that looks complete, or is followed by a piece of another
 // one, when the server stops while it writes it.
-TEST(server, stop_cuts_the_response_that_it_writes)
+TEST_P(server_test, stop_cuts_the_response_that_it_writes)
 {
     const std::string body(16U << 20U, 'x');
     std::vector<std::shared_ptr<exchange>> waiting;
@@ -253,7 +260,7 @@
 }
 
 // Guards against aborting requests in flight when the server stops listening.
-TEST(server, finishes_requests_after_it_stops_listening)
+TEST_P(server_test, finishes_requests_after_it_stops_listening)
 {
     std::shared_ptr<exchange> waiting;
     std::atomic<int> handled{0};
@@ -275,7 +282,7 @@
 
 // Guards against responses that reach the wrong caller when many requests are pending and
 // another thread responds in another order.
-TEST(server, gives_each_caller_its_own_answer)
+TEST_P(server_test, gives_each_caller_its_own_answer)
 {
     constexpr int callers = 64;
     absl::Mutex mutex;
@@ -310,7 +317,7 @@
 }
 
 // Guards against HEAD responses with a wrong Content-Length or with a body.
-TEST(server, head_keeps_the_announced_length)
+TEST_P(server_test, head_keeps_the_announced_length)
 {
     const auto it = start([](const request&, const std::shared_ptr<exchange>& to) {
         response out;
@@ -325,7 +332,7 @@
 }
 
 // Guards against two processes that listen on one port unnoticed.
-TEST(server, reports_an_address_in_use)
+TEST_P(server_test, reports_an_address_in_use)
 {
     const auto it = start(echo);
     auto options = on_loopback();
@@ -335,5 +342,11 @@
     EXPECT_EQ(second.error(), core::errc::address_in_use);
 }
 
+INSTANTIATE_TEST_SUITE_P(
+    pipeline_depth,
+    server_test,
+    testing::Values(1U, 8U),
+    testing::PrintToStringParamName());
+
 } // namespace
 } // namespace cuminpitch::http
--- a/tests/http/socket_options_test.cpp
+++ b/tests/http/socket_options_test.cpp
@@ -19,12 +19,17 @@
     EXPECT_EQ(testing::socket_option(sockets[0], SOL_SOCKET, SO_KEEPALIVE), 0);
 }
 
+class socket_options : public ::testing::TestWithParam<unsigned>
+{
+};
+
 // Guards against a TCP_USER_TIMEOUT that libcurl or libmicrohttpd sets by itself, which
 // would end an attempt or a caller's connection before its time limit.
-TEST(socket_options, only_the_time_limits_of_requests_end_connections)
+TEST_P(socket_options, only_the_time_limits_of_requests_end_connections)
 {
     server_options options;
     options.listen = {"127.0.0.1", 0};
+    options.pipeline_depth = GetParam();
     auto created =
         server::create(options, [](const request&, const std::shared_ptr<exchange>& to) {
             to->respond({});
@@ -44,5 +49,11 @@
     expect_no_timeout_of_the_kernel(testing::accepted_at(port));
 }
 
+INSTANTIATE_TEST_SUITE_P(
+    pipeline_depth,
+    socket_options,
+    ::testing::Values(1U, 8U),
+    ::testing::PrintToStringParamName());
+
 } // namespace
 } // namespace cuminpitch::http
