--- a/include/cuminpitch/core/process_settings.hpp
+++ b/include/cuminpitch/core/process_settings.hpp
@@ -76,6 +76,9 @@
     /// `--max-key-age`: time for which keys of customers are valid after control has last
     /// confirmed the state of the entry. Unlimited if not set.
     std::optional<absl::Duration> max_key_age;
+    /// `--pipeline-depth`, requests of one caller's connection that may be open at the
+    /// same time.
+    std::uint32_t pipeline_depth = 1;
     std::vector<endpoint> peers; ///< `--peers`, internal endpoints of some other
                                  ///< entries; may be empty.
     /// `--memory-mb`: memory that the process may use, in MB. Limits the bodies that it
--- a/src/core/process_settings.cpp
+++ b/src/core/process_settings.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint32_t max_entries_per_answer = 64;
 constexpr std::uint32_t max_slots_per_entry = 1'000'000;
 constexpr std::uint32_t max_memory_mb = 1'000'000;
+constexpr std::uint32_t max_pipeline_depth = 64;
 
 /// An endpoint that may be omitted; parsed as a list of at most one.
 setting_type<std::vector<endpoint>> optional_endpoint_setting()
@@ -244,6 +245,12 @@
         duration_setting(absl::ZeroDuration(), absl::Hours(24)),
         max_key_age,
         "0s");
+    parser.add(
+        "pipeline-depth",
+        "Requests of one connection of a caller that may be open at the same time",
+        count_setting(1, max_pipeline_depth),
+        it.pipeline_depth,
+        "1");
     parser.add(
         "peers",
         "Internal endpoints of entries to query while no control instance is reachable "
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -213,6 +213,7 @@
     http::server_options requests;
     requests.listen = settings_.http;
     requests.max_held_bytes = limits.requests;
+    requests.pipeline_depth = settings_.pipeline_depth;
     server_ = open_server(
         requests,
         [this](http::request it, const std::shared_ptr<http::exchange>& exchange) {
--- a/tests/core/process_settings_test.cpp
+++ b/tests/core/process_settings_test.cpp
@@ -88,6 +88,26 @@
         160U);
 }
 
+// Guards against a depth that is not stored, and against reading ahead where nobody asked
+// for it.
+TEST(process_settings, reads_the_pipeline_depth)
+{
+    auto from = entry_arguments();
+    const auto depth = [&] {
+        return std::get<entry_settings>(parse_with(parse_entry_settings, from))
+            .pipeline_depth;
+    };
+    EXPECT_EQ(depth(), 1U);
+    from["--pipeline-depth"] = "64";
+    EXPECT_EQ(depth(), 64U);
+    for (const std::string wrong : {"0", "65"}) {
+        from["--pipeline-depth"] = wrong;
+        EXPECT_THAT(
+            error_line(parse_entry_settings, from),
+            testing::StartsWith("setting --pipeline-depth: value '" + wrong + "'"));
+    }
+}
+
 // Guards against invalid values that are accepted, and against errors that do not contain
 // the name and the value.
 TEST(process_settings, refuses_wrong_values_with_name_and_value)
