--- a/include/cuminpitch/http/server.hpp
+++ b/include/cuminpitch/http/server.hpp
@@ -53,10 +53,10 @@
     unsigned pipeline_depth = 1;
 };
 
-/// HTTP/1.1 server: on libmicrohttpd for a pipeline depth of 1, otherwise on an epoll loop
-/// with the parser of Boost.Beast (docs/design/pipelining.md). Requests whose body length is ambiguous (both
-/// Content-Length and Transfer-Encoding, several lengths, an unknown coding) get status
-/// 400 (not-run).
+/// HTTP/1.1 server: on libmicrohttpd for a pipeline depth of 1, otherwise on an epoll
+/// loop with the parser of Boost.Beast (docs/design/pipelining.md). Requests whose body
+/// length is ambiguous (both Content-Length and Transfer-Encoding, several lengths, an
+/// unknown coding) get status 400 (not-run).
 class server
 {
 public:
