--- a/include/cuminpitch/core/process_settings.hpp
+++ b/include/cuminpitch/core/process_settings.hpp
@@ -82,6 +82,9 @@
     /// `--admission=ranked`: requests are queued and refused by priority, not in the
     /// order of their arrival.
     bool has_ranked_admission = false;
+    /// `--pipeline-depth`, requests of one caller's connection that may be open at the
+    /// same time.
+    std::uint32_t pipeline_depth = 1;
     std::vector<endpoint> peers; ///< `--peers`, internal endpoints of some other
                                  ///< entries; may be empty.
     /// `--memory-mb`: memory that the process may use, in MB. Limits the bodies that it
