Give owners of permits 0.4 s, and permits a second

Entries with a tenth of a core take about 90 ms for a request and its response.

An owner is given up after 0.4 s. Permits are valid for 1 s and are asked for 0.5 s in advance, so that a customer with two requests a second at an entry seldom waits. The bucket of a new owner kept one token of those that it starts with.

--- a/src/entry/allowances.cpp
+++ b/src/entry/allowances.cpp
@@ -10,16 +10,19 @@
 
 /// Permits that weren't used expire. The requests of a window exceed those that were
 /// granted in it by at most the permits of this time.
-constexpr absl::Duration permit_validity = absl::Milliseconds(500);
-/// Owners respond at once, so a later response means that the owner is lost or
-/// overloaded.
-constexpr absl::Duration response_timeout = absl::Milliseconds(100);
+constexpr absl::Duration permit_validity = absl::Seconds(1);
+/// A response usually takes 0.1 s where entries have a tenth of a core, and several times
+/// as long when one is busy. An owner that is asked in vain costs all its customers'
+/// rate, so it isn't given up sooner.
+constexpr absl::Duration response_timeout = absl::Milliseconds(400);
 /// An owner that is back is asked sooner: its substitute redirects to it.
 constexpr absl::Duration silent_owner_time = absl::Seconds(5);
 /// A request waits at most this long for all owners together.
-constexpr absl::Duration max_wait = absl::Milliseconds(300);
-/// Permits are requested in advance for this time of the demand.
-constexpr absl::Duration advance_time = absl::Milliseconds(250);
+constexpr absl::Duration max_wait = absl::Seconds(1);
+/// Permits are requested in advance for this time of the demand, so that the requests of
+/// a customer with two a second or more at this entry seldom wait. Half of the validity,
+/// so that few of them expire.
+constexpr absl::Duration advance_time = absl::Milliseconds(500);
 /// After a refusal the owner is asked again after this time. Bounds the messages of an
 /// owner under a burst: four a second of each entry.
 constexpr absl::Duration refusal_time = absl::Milliseconds(250);
@@ -90,6 +93,11 @@
     count_demand(now, it);
     if (it.waiting.empty() && it.permits.take(now)) {
         decide(now, it, id, outcome::granted);
+        const auto advance = advance_permits(it);
+        if (!it.awaits_response && now >= it.over_until &&
+            2 * it.permits.count(now) < advance) {
+            ask(now, customer, it);
+        }
         return;
     }
     if (now < it.over_until) {
@@ -111,6 +119,11 @@
     it.last_request = now;
 }
 
+std::uint32_t allowances::advance_permits(const account& it) const
+{
+    return static_cast<std::uint32_t>(it.demand * absl::ToDoubleSeconds(advance_time));
+}
+
 std::size_t allowances::owner_position(absl::Time now, const account& it) const
 {
     for (std::size_t i = 0; i < it.owners.size(); ++i) {
@@ -126,9 +139,9 @@
 {
     control::permit_request request;
     request.customer = customer;
-    request.wanted = static_cast<std::uint32_t>(
-        static_cast<double>(it.waiting.size()) +
-        std::floor(it.demand * absl::ToDoubleSeconds(advance_time)));
+    const auto advance = advance_permits(it);
+    const auto held = std::min(advance, it.permits.count(now));
+    request.wanted = static_cast<std::uint32_t>(it.waiting.size()) + advance - held;
     // Messages carry microseconds, and the response is recognized by this time.
     request.sent = absl::FromUnixMicros(absl::ToUnixMicros(now));
     it.requested = request.sent;
--- a/src/entry/allowances_priv.hpp
+++ b/src/entry/allowances_priv.hpp
@@ -100,6 +100,8 @@
         core::request_id id,
         request::allowance_decided::outcome what);
     void count_demand(absl::Time now, account& it) const;
+    /// Number of permits that the entry wants to hold.
+    std::uint32_t advance_permits(const account& it) const;
 
     control::entry_record self_;
     core::random_source random_;
--- a/src/entry/token_bucket_priv.hpp
+++ b/src/entry/token_bucket_priv.hpp
@@ -12,7 +12,11 @@
 class token_bucket
 {
 public:
-    token_bucket(absl::Time now, double tokens) : tokens_(tokens), updated_(now) {}
+    /// Has no rate and keeps the tokens until set_rate() is called.
+    token_bucket(absl::Time now, double tokens)
+        : capacity_(tokens), tokens_(tokens), updated_(now)
+    {
+    }
 
     /// Sets rate and capacity from `now` on. Until then, tokens are added at the old
     /// rate.
@@ -38,7 +42,7 @@
 
 private:
     core::request_rate rate_;
-    double capacity_ = 1;
+    double capacity_;
     double tokens_;
     absl::Time updated_;
 };
