Forget waiting requests whose customer has no rate any more

If the rate of a customer was removed while one of its requests waited for a lost owner, the next tick read the first element of an empty queue, which is undefined; an account that was erased meanwhile ended the entry with an exception. ask() granted the waiting requests and left the customer in the list of those with waiting requests.

It is removed from the list. one_entry.rate_removed_while_a_request_waits failed before.

--- a/src/entry/allowances.cpp
+++ b/src/entry/allowances.cpp
@@ -145,6 +145,7 @@
     const auto declared = allowance_of(customer);
     if (!declared) {
         decide_waiting(now, it, outcome::granted);
+        waiting_.erase(customer);
         it.awaits_response = false;
         return;
     }
--- a/tests/entry/allowances_test.cpp
+++ b/tests/entry/allowances_test.cpp
@@ -367,5 +367,86 @@
     EXPECT_GE(static_cast<double>(most), 20 * 5 * 0.95);
 }
 
+/// One entry of a fleet, and the messages that it sends.
+class one_entry : public ::testing::Test
+{
+protected:
+    one_entry()
+    {
+        for (int n = 0; n < 8; ++n) {
+            records.push_back(
+                {core::instance_id(absl::StrCat("e", n)),
+                 {"10.0.0.1", static_cast<std::uint16_t>(n + 1)},
+                 {"10.0.0.2", static_cast<std::uint16_t>(n + 1)},
+                 core::failure_domain_id("d")});
+        }
+        declare(100);
+        self = std::make_unique<allowances>(
+            records[0], core::random_source(1), metrics);
+        self->set_declared(declared);
+        self->set_entries(now, records);
+    }
+
+    void declare(std::optional<double> rate)
+    {
+        declared = std::make_shared<config::declarations>();
+        for (int n = 0; n < 100; ++n) {
+            const core::customer_id id{core::team_id("t"), absl::StrCat("c", n)};
+            declared->customers[id].id = id;
+            if (rate) {
+                declared->customers[id].rate = core::request_rate(*rate);
+            }
+        }
+    }
+    std::vector<control::entry_record> owners(const core::customer_id& it) const
+    {
+        return permit_owners(it.str(), records);
+    }
+    bool owns(const core::customer_id& it) const
+    {
+        const auto all = owners(it);
+        return std::find(all.begin(), all.end(), records[0]) != all.end();
+    }
+    /// Customers whose permits others grant, and that have the same first owner.
+    std::vector<core::customer_id> customers_of_one_owner() const
+    {
+        std::vector<core::customer_id> out;
+        for (const auto& [id, it] : declared->customers) {
+            if (!owns(id) && (out.empty() || owners(id)[0] == owners(out[0])[0])) {
+                out.push_back(id);
+            }
+        }
+        return out;
+    }
+    void request(const core::customer_id& customer)
+    {
+        last_id = last_id.next();
+        self->request(now, last_id, customer);
+    }
+    net::peer peer(std::size_t n) const { return {records[n].id, records[n].internal}; }
+
+    std::vector<control::entry_record> records;
+    std::shared_ptr<config::declarations> declared;
+    telemetry::metrics metrics;
+    std::unique_ptr<allowances> self;
+    absl::Time now = absl::UnixEpoch() + absl::Seconds(1000);
+    core::request_id last_id;
+};
+
+// Guards against an account without waiting requests that tick() reads the first waiting
+// request of: the rate is removed while a request waits for an owner that is lost.
+TEST_F(one_entry, rate_removed_while_a_request_waits)
+{
+    request(customers_of_one_owner()[0]);
+    declare(std::nullopt);
+    self->set_declared(declared);
+    now += absl::Milliseconds(120);
+    self->tick(now);
+    const auto decided = self->take_decisions();
+    ASSERT_EQ(decided.size(), 1U);
+    EXPECT_EQ(decided[0].what, outcome::granted);
+    EXPECT_TRUE(self->is_idle());
+}
+
 } // namespace
 } // namespace cuminpitch::entry
