Count only owners that were asked as lost

With several customers of one lost owner, only the first of them asked the next owner. The others asked the third, which redirected, and their requests ended with 503 after 0.3 s. When a response was missing, the entry marked the owner that it would ask next; for the second customer this was no longer the one that it had asked.

The account keeps the owner that was asked. The new test has all customers of one lost owner ask their second one; it failed before.

--- a/src/entry/allowances.cpp
+++ b/src/entry/allowances.cpp
@@ -142,6 +142,7 @@
     it.requested = request.sent;
     it.asked_for = request.wanted;
     it.awaits_response = true;
+    it.asked.reset();
     const auto declared = allowance_of(customer);
     if (!declared) {
         decide_waiting(now, it, outcome::granted);
@@ -154,6 +155,7 @@
     }
     const auto& owner = it.owners[owner_position(now, it)];
     if (owner.id != self_.id) {
+        it.asked = owner.internal;
         out_.push_back({owner.internal, std::move(request)});
         return;
     }
@@ -269,9 +271,8 @@
         auto& it = accounts_.at(customer);
         if (it.awaits_response && now - it.requested >= response_timeout) {
             it.awaits_response = false;
-            if (!it.owners.empty()) {
-                const auto& owner = it.owners[owner_position(now, it)];
-                silent_[owner.internal] = now + silent_owner_time;
+            if (it.asked) {
+                silent_[*it.asked] = now + silent_owner_time;
                 metrics_.add("cuminpitch_allowance_owners_lost_total");
             }
         }
--- a/src/entry/allowances_priv.hpp
+++ b/src/entry/allowances_priv.hpp
@@ -74,6 +74,8 @@
         std::deque<waiting_request> waiting;
         std::vector<control::entry_record> owners;
         absl::Time requested; ///< When the owner was asked last.
+        /// The owner that was asked last. Empty if there was none, or this entry is it.
+        std::optional<core::endpoint> asked;
         std::uint32_t asked_for = 0;
         bool awaits_response = false;
         /// Requests are refused without asking the owner until then.
--- a/tests/entry/allowances_test.cpp
+++ b/tests/entry/allowances_test.cpp
@@ -448,5 +448,27 @@
     EXPECT_TRUE(self->is_idle());
 }
 
+// Guards against customers of one lost owner of which only the first asks its next owner,
+// as the requests of the others count as lost by owners that they weren't sent to.
+TEST_F(one_entry, lost_owner_is_replaced_for_each_of_its_customers)
+{
+    const auto customers = customers_of_one_owner();
+    ASSERT_GE(customers.size(), 5U);
+    for (const auto& it : customers) {
+        request(it);
+    }
+    self->take_messages();
+    now += absl::Milliseconds(120);
+    self->tick(now);
+    std::size_t asked = 0;
+    for (const auto& it : self->take_messages()) {
+        const auto* message = std::get_if<control::permit_request>(&it.message);
+        ASSERT_NE(message, nullptr);
+        EXPECT_EQ(it.to, owners(*message->customer)[1].internal);
+        ++asked;
+    }
+    EXPECT_EQ(asked, customers.size());
+}
+
 } // namespace
 } // namespace cuminpitch::entry
