Don't refuse a customer that the owner doesn't know yet

Requests of a customer that had just got a rate were refused with 429 while the owner of its permits lacked the change or, after a start, all declarations. The owner answered that it grants nothing, which the entry took for a rate that is used up.

The owner answers as if another one had to be asked. The test reads the owner's response, which said no redirect before.

--- a/src/entry/allowances.cpp
+++ b/src/entry/allowances.cpp
@@ -177,6 +177,8 @@
     response.known = it.known;
     response.echo = it.sent;
     const auto declared = allowance_of(*it.customer);
+    // An owner that doesn't have the newest declarations yet is asked again.
+    response.is_redirect = !declared && it.wanted > 0;
     if (declared && it.wanted > 0) {
         const auto answer = owner_.grant(now, *it.customer, *declared, it.wanted);
         response.granted = answer.granted;
--- a/tests/entry/allowances_test.cpp
+++ b/tests/entry/allowances_test.cpp
@@ -470,5 +470,21 @@
     EXPECT_EQ(asked, customers.size());
 }
 
+// Guards against the refusal of a new customer's requests as over its rate because the
+// owner of its permits doesn't have the declarations yet.
+TEST_F(one_entry, owner_without_the_declaration_does_not_refuse)
+{
+    control::permit_request it;
+    it.customer = core::customer_id{core::team_id("t"), "new"};
+    it.wanted = 1;
+    it.sent = now;
+    self->receive(now, peer(1), it);
+    const auto sent = self->take_messages();
+    ASSERT_EQ(sent.size(), 1U);
+    const auto* response = std::get_if<control::permit_response>(&sent[0].message);
+    ASSERT_NE(response, nullptr);
+    EXPECT_TRUE(response->is_redirect);
+}
+
 } // namespace
 } // namespace cuminpitch::entry
