Don't refuse a customer for permits that it needs later

A customer with 8 requests a second and a rate of 10/s had 19 of 80 requests refused with 429. An entry asks for more permits than it needs at once. If the owner granted a part of them, enough for all waiting requests, the entry still refused all others for 0.25 s.

It asks again once the owner expects to have a permit, if that is sooner.

--- a/src/entry/allowances.cpp
+++ b/src/entry/allowances.cpp
@@ -20,8 +20,9 @@
 constexpr absl::Duration max_wait = absl::Milliseconds(300);
 /// Permits are requested in advance for this time of the demand.
 constexpr absl::Duration advance_time = absl::Milliseconds(250);
-/// After a refusal the owner is asked again after this time. Bounds the messages of an
-/// owner under a burst: four a second of each entry.
+/// After a refusal the owner is asked again after this time, or when it expects to have a
+/// permit, if that is sooner. Bounds the messages of an owner under a burst: four a second
+/// of each entry.
 constexpr absl::Duration refusal_time = absl::Milliseconds(250);
 constexpr absl::Duration demand_time_constant = absl::Seconds(1);
 constexpr absl::Duration unused_account_time = absl::Seconds(10);
@@ -228,7 +229,7 @@
     }
     if (response.granted < it.asked_for) {
         it.room_at = now + response.expected_wait;
-        it.over_until = now + refusal_time;
+        it.over_until = std::min(now + refusal_time, it.room_at);
         decide_waiting(now, it, outcome::over_allowance);
     }
     if (it.waiting.empty()) {
--- a/tests/entry/allowances_test.cpp
+++ b/tests/entry/allowances_test.cpp
@@ -486,5 +486,17 @@
     EXPECT_TRUE(response->is_redirect);
 }
 
+// Guards against a customer below its rate that is refused because the owner has fewer
+// permits than the entry wants in advance.
+TEST(allowances, permits_in_advance_are_no_reason_to_refuse)
+{
+    for (const double burst : {0.0, 2.0}) {
+        allowance_fleet fleet(6, 10, burst, 1);
+        fleet.run(absl::Seconds(10), 8, {0});
+        EXPECT_EQ(fleet.count(outcome::over_allowance), 0U) << burst;
+        EXPECT_GE(fleet.granted(), 79U);
+    }
+}
+
 } // namespace
 } // namespace cuminpitch::entry
