Start each takeover of a customer's permits with few tokens

A customer with a burst could use it twice in one window: an owner that had replaced the first one kept its ledger for 10 s, in which its bucket filled up beside that of the first owner. If it hadn't been asked for a while, it also granted the whole rate at once, since it counted from the earlier loss. Both need two losses of the first owner within seconds.

A takeover begins anew after a redirect, or if the owner wasn't asked for the time in which others count as silent.

--- a/src/entry/allowance_owner.cpp
+++ b/src/entry/allowance_owner.cpp
@@ -119,6 +119,7 @@
     absl::Time now, const core::customer_id& customer, allowance of, std::uint32_t wanted)
 {
     auto& it = open(now, customer, of);
+    const bool was_idle = now - it.used >= contact_timeout;
     it.used = now;
     if (it.position >= it.owners.size()) {
         return {0, absl::ZeroDuration(), true};
@@ -132,7 +133,12 @@
         return {0, absl::ZeroDuration(), true};
     }
     if (it.position > 0) {
-        it.alone_since = std::min(it.alone_since, now);
+        // Meanwhile the first owner may have granted, and tokens have accumulated here.
+        if (was_idle || it.alone_since == absl::InfiniteFuture()) {
+            it.alone_since = now;
+            it.tokens.refill(now);
+            it.tokens.limit(start_tokens(now, it, of));
+        }
         if (now >= it.next_query) {
             it.next_query = now + query_interval;
             query_others(it);
