Notice a suspension when a permit is requested, too

An owner that was suspended could grant a full bucket beside what its successor had granted meanwhile, if it read a request before its first tick: only tick() noticed the suspension. With a burst above 1.1 times the rate, the sum exceeds the limit of a window.

grant() checks for it as well.

--- a/src/entry/allowance_owner.cpp
+++ b/src/entry/allowance_owner.cpp
@@ -118,6 +118,7 @@
 allowance_owner::answer allowance_owner::grant(
     absl::Time now, const core::customer_id& customer, allowance of, std::uint32_t wanted)
 {
+    check_suspension(now);
     auto& it = open(now, customer, of);
     const bool was_idle = now - it.used >= contact_timeout;
     it.used = now;
@@ -171,7 +172,7 @@
     }
 }
 
-void allowance_owner::tick(absl::Time now)
+void allowance_owner::check_suspension(absl::Time now)
 {
     if (now - last_tick_ > suspension_time && last_tick_ != absl::InfinitePast()) {
         for (auto& [customer, it] : ledgers_) {
@@ -179,7 +180,13 @@
         }
         entries_since_ = now;
         earlier_entries_ = entries_;
+        last_tick_ = now;
     }
+}
+
+void allowance_owner::tick(absl::Time now)
+{
+    check_suspension(now);
     last_tick_ = now;
     absl::erase_if(ledgers_, [&](auto& each) {
         auto& it = each.second;
--- a/src/entry/allowance_owner_priv.hpp
+++ b/src/entry/allowance_owner_priv.hpp
@@ -86,6 +86,8 @@
     /// The part of the rate that this entry may grant.
     double share(absl::Time now, const ledger& it) const;
     void query_others(const ledger& it);
+    /// Lowers all tokens if this entry was suspended since the last tick.
+    void check_suspension(absl::Time now);
 
     control::entry_record self_;
     std::vector<control::entry_record> entries_;
--- a/tests/entry/allowance_owner_test.cpp
+++ b/tests/entry/allowance_owner_test.cpp
@@ -82,5 +82,16 @@
     EXPECT_GE(drain(absl::Seconds(2)), 0.9 * 20 * 2);
 }
 
+// Guards against a full bucket of an owner that was suspended, while another owner granted
+// the rate, if it reads a message before its first tick.
+TEST_F(allowance_owner_test, suspension_is_noticed_by_a_request_too)
+{
+    become(0);
+    drain(absl::Seconds(1));
+    now += absl::Seconds(6);
+    self->record_contact(now, owners[1].internal);
+    EXPECT_LE(self->grant(now, shop, of, 1000).granted, start_tokens);
+}
+
 } // namespace
 } // namespace cuminpitch::entry
