Forget entries that haven't sent permit messages for long

An entry kept the address and the time of each entry that ever sent it a permit message, which grows with each restart of another entry at a new address. The test found 1,000 of 1,000 addresses after 3 s; now one.

--- a/src/entry/allowance_owner.cpp
+++ b/src/entry/allowance_owner.cpp
@@ -194,6 +194,12 @@
         return now - it.used >= unused_ledger_time &&
                it.tokens.tokens() >= it.tokens.capacity();
     });
+    if (now >= next_forget_) {
+        next_forget_ = now + contact_timeout;
+        absl::erase_if(heard_, [&](const auto& each) {
+            return now - each.second >= contact_timeout;
+        });
+    }
     if (now < next_query_ || now - confirmed_ < contact_timeout / 2) {
         return;
     }
--- a/src/entry/allowance_owner_priv.hpp
+++ b/src/entry/allowance_owner_priv.hpp
@@ -64,6 +64,8 @@
     std::vector<core::endpoint> take_queries() { return std::exchange(queries_, {}); }
     bool is_idle() const { return ledgers_.empty(); }
     std::size_t ledgers() const { return ledgers_.size(); }
+    /// Number of entries that were heard lately.
+    std::size_t contacts() const { return heard_.size(); }
 
 private:
     struct ledger
@@ -97,6 +99,7 @@
     absl::Time confirmed_ = absl::InfinitePast();
     absl::Time last_tick_ = absl::InfinitePast();
     absl::Time next_query_ = absl::InfinitePast();
+    absl::Time next_forget_ = absl::InfinitePast();
     absl::btree_map<core::endpoint, absl::Time> heard_;
     absl::btree_map<core::customer_id, ledger> ledgers_;
     std::vector<core::endpoint> queries_;
--- a/tests/entry/allowance_owner_test.cpp
+++ b/tests/entry/allowance_owner_test.cpp
@@ -93,5 +93,16 @@
     EXPECT_LE(self->grant(now, shop, of, 1000).granted, start_tokens);
 }
 
+// Guards against memory for each address that a permit message ever came from.
+TEST_F(allowance_owner_test, contacts_are_forgotten)
+{
+    become(0);
+    for (int n = 1; n <= 1000; ++n) {
+        self->record_contact(now, {"10.0.0.3", static_cast<std::uint16_t>(n)});
+    }
+    pass(absl::Seconds(3));
+    EXPECT_LE(self->contacts(), 1U);
+}
+
 } // namespace
 } // namespace cuminpitch::entry
