Pass on refusals for keys and rates after a hop

While an entry had lost its path to the servers, a customer over its rate had each request tried at every other entry before it got its 429, and an unknown key was refused as late. The list of reasons for which another entry would refuse as well lacked the two new ones.

They are added. In the test, which failed before, the caller gets 429 and 401 after one hop.

--- a/src/request/dispatcher_attempts.cpp
+++ b/src/request/dispatcher_attempts.cpp
@@ -28,6 +28,8 @@
 {
     constexpr std::array same_everywhere = {
         refusal_reason::malformed_request,
+        refusal_reason::unknown_key,
+        refusal_reason::over_allowance,
         refusal_reason::request_too_large,
         refusal_reason::shed,
         refusal_reason::queue_full,
--- a/tests/request/forwarding_test.cpp
+++ b/tests/request/forwarding_test.cpp
@@ -117,6 +117,19 @@
     EXPECT_FALSE(passed.response.headers.has("Cuminpitch-Verdict"));
 }
 
+// Guards against a customer over its rate whose requests ask each entry in turn, and
+// against an unknown key that is refused late.
+TEST_F(forwarding_test, refusal_that_is_the_same_everywhere_is_passed_on)
+{
+    lose_path(2);
+    for (const auto& [reason, status] :
+         {std::pair("over-allowance", 429), std::pair("unknown-key", 401)}) {
+        const auto hop = only<forward>(arrive("/order"));
+        const auto out = finish(hop.send.attempt, refused_by_entry(reason, status));
+        EXPECT_EQ(only<respond>(out).response.status, status);
+    }
+}
+
 // Guards against more attempts than the route allows when two entries make them.
 TEST_F(forwarding_test, attempts_of_both_entries_are_limited_together)
 {
