Serve public routes while keys can't be verified

The filter decided about the key before it looked at the route.

A public route is served without the name of the customer then. The test failed before.

--- a/src/request/key_filter.cpp
+++ b/src/request/key_filter.cpp
@@ -22,16 +22,17 @@
     const auto unconfirmed_for = at.now - at.entry.confirmed;
     const auto key = read_key(it.message->headers, at.dialect);
     const auto* found = key ? customers.find(team, *key) : nullptr;
-    if (found != nullptr) {
-        if (unconfirmed_for > at.entry.max_key_age) {
-            return refusal_reason::key_unverified;
-        }
+    const bool is_verified = unconfirmed_for <= at.entry.max_key_age;
+    if (found != nullptr && is_verified) {
         it.customer = found;
         return std::nullopt;
     }
     if (it.route->is_public) {
         return std::nullopt;
     }
+    if (found != nullptr) {
+        return refusal_reason::key_unverified;
+    }
     return key && unconfirmed_for > key_confirmation_time ? refusal_reason::key_unverified
                                                           : refusal_reason::unknown_key;
 }
--- a/tests/request/key_test.cpp
+++ b/tests/request/key_test.cpp
@@ -123,6 +123,19 @@
     expect_refusal(with_key("Bearer k-1"), refusal_reason::key_unverified);
 }
 
+// Guards against a public route that is refused because of a key.
+TEST_F(key_test, public_route_is_served_while_keys_are_unverified)
+{
+    for (auto& [id, it] : declared->routes) {
+        it.is_public = true;
+    }
+    restart({});
+    confirm(now - absl::Seconds(6), absl::Seconds(5));
+    const auto sent = only<start_attempt>(with_key("Bearer k-1"));
+    EXPECT_FALSE(sent.send.headers.has("Authorization"));
+    EXPECT_FALSE(sent.send.headers.has("Cuminpitch-Customer"));
+}
+
 // Guards against a revoked key that still works, and a header that is changed where no
 // keys are required.
 TEST_F(key_test, change_of_the_declarations_takes_effect_at_once)
