Show the number of a customer's keys instead of the keys

The commands print the values of all settings.

config::shown_value() replaces the value of keys by their number; get still prints it. The test failed before; cli_test passes.

--- a/include/cuminpitch/config/diff.hpp
+++ b/include/cuminpitch/config/diff.hpp
@@ -21,7 +21,11 @@
 /// Returns the operations that turn `from` into `to`, sorted by path.
 std::vector<operation> diff(const settings& from, const settings& to);
 
-/// Returns "+ path = new", "- path = old" or "~ path = old -> new".
+/// The JSON text to print for the value of a setting: for the keys of a customer their
+/// number, such as "2 keys", otherwise the value itself.
+std::string shown_value(const std::string& path, const std::string& value);
+
+/// Returns "+ path = new", "- path = old" or "~ path = old -> new", with shown_value().
 std::string to_string(const operation& it);
 
 } // namespace cuminpitch::config
--- a/src/cli/common.cpp
+++ b/src/cli/common.cpp
@@ -139,11 +139,13 @@
         }
         return;
     }
-    const auto value = [](const std::optional<std::string>& text) {
-        return text ? nlohmann::json::parse(*text) : nlohmann::json();
-    };
     auto list = nlohmann::json::array();
     for (const auto& operation : operations) {
+        const auto value = [&](const std::optional<std::string>& text) {
+            return text
+                       ? nlohmann::json::parse(config::shown_value(operation.path, *text))
+                       : nlohmann::json();
+        };
         list.push_back(
             {{"path", operation.path},
              {"old", value(operation.old_value)},
--- a/src/cli/read_commands.cpp
+++ b/src/cli/read_commands.cpp
@@ -1,5 +1,6 @@
 #include "commands_priv.hpp"
 #include "cuminpitch/cli/run.hpp"
+#include "cuminpitch/config/diff.hpp"
 
 #include <absl/strings/str_cat.h>
 
@@ -27,8 +28,25 @@
                : absl::StrCat("= ", text_of(it, "path"), " = ", value->dump());
 }
 
-void print_change(context& it, const nlohmann::json& change)
+/// Replaces the keys of customers in a change by their number.
+nlohmann::json without_keys(nlohmann::json change)
 {
+    const auto operations = change.find("operations");
+    if (operations == change.end() || !operations->is_array()) {
+        return change;
+    }
+    for (auto& operation : *operations) {
+        if (const auto value = operation.find("value"); value != operation.end()) {
+            *value = nlohmann::json::parse(
+                config::shown_value(text_of(operation, "path"), value->dump()));
+        }
+    }
+    return change;
+}
+
+void print_change(context& it, const nlohmann::json& received)
+{
+    const auto change = without_keys(received);
     if (it.args.json) {
         it.out << change.dump() << '\n';
         return;
--- a/src/config/diff.cpp
+++ b/src/config/diff.cpp
@@ -1,5 +1,10 @@
 #include "cuminpitch/config/diff.hpp"
 
+#include "cuminpitch/core/json.hpp"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
 namespace cuminpitch::config {
 
 std::vector<operation> diff(const settings& from, const settings& to)
@@ -25,15 +30,30 @@
     return result;
 }
 
+std::string shown_value(const std::string& path, const std::string& value)
+{
+    const std::vector<std::string> parts = absl::StrSplit(path, '/');
+    const bool has_keys =
+        parts.size() > 3 && parts[2] == "customers" && parts.back() == "keys";
+    if (!has_keys) {
+        return value;
+    }
+    const auto parsed = core::parse_json(value).value;
+    return absl::StrCat("\"", parsed.is_array() ? parsed.size() : 0, " keys\"");
+}
+
 std::string to_string(const operation& it)
 {
+    const auto text = [&](const std::optional<std::string>& value) {
+        return shown_value(it.path, value.value_or(""));
+    };
     if (!it.old_value) {
-        return "+ " + it.path + " = " + it.new_value.value_or("");
+        return "+ " + it.path + " = " + text(it.new_value);
     }
     if (!it.new_value) {
-        return "- " + it.path + " = " + *it.old_value;
+        return "- " + it.path + " = " + text(it.old_value);
     }
-    return "~ " + it.path + " = " + *it.old_value + " -> " + *it.new_value;
+    return "~ " + it.path + " = " + text(it.old_value) + " -> " + text(it.new_value);
 }
 
 } // namespace cuminpitch::config
--- a/tests/cli/run_test.cpp
+++ b/tests/cli/run_test.cpp
@@ -208,6 +208,29 @@
         command({"history"}).out, HasSubstr("revision 2  2023-11-14T22:13:20.000Z"));
 }
 
+// Guards against keys of customers in the output of commands that only list changes.
+TEST_F(cli, keys_are_shown_by_get_only)
+{
+    const std::string path = "teams/a/customers/c/keys";
+    folder_.write("teams/a/customers/c.json", R"({"keys": ["secret-1", "secret-2"]})");
+    control_.settings[path] = {"secret-0"};
+    std::string out;
+    const auto collect = [&](const outcome& it) {
+        out += it.out + it.err;
+        return it.out;
+    };
+    EXPECT_THAT(
+        collect(command({"diff", folder_.path(), "--team", "a"})),
+        HasSubstr("~ " + path + " = \"1 keys\" -> \"2 keys\"\n"));
+    collect(command({"diff", folder_.path(), "--team", "a", "--json"}));
+    EXPECT_THAT(collect(apply()), HasSubstr("\"2 keys\""));
+    EXPECT_THAT(collect(command({"history"})), HasSubstr("= \"2 keys\""));
+    EXPECT_THAT(
+        collect(command({"history", "--json"})), HasSubstr("\"value\":\"2 keys\""));
+    EXPECT_THAT(out, testing::Not(HasSubstr("secret")));
+    EXPECT_THAT(command({"get"}).out, HasSubstr("secret-2"));
+}
+
 // Guards against a forced reassignment by accident, and against calls that are repeated
 // although they may have been carried out.
 TEST_F(cli, group_commands_are_sent_once)
