Play customers with keys and rates in the soak

Callers also send unknown keys, none, and a forged name. The ledger checks from the servers' records that nothing runs without a valid key, that servers get the name of the key's owner and never a key, and that no window of 5 s exceeds a rate; a test per check sees it fail.

--- a/tests/soak/ledger.hpp
+++ b/tests/soak/ledger.hpp
@@ -28,6 +28,7 @@
     absl::Time sent;
     absl::Time ended;
     http::client_result result;
+    std::string key; ///< Key of a customer that was sent; may be empty.
 };
 
 /// The arrival of a request as recorded by a backend server.
@@ -37,6 +38,8 @@
     std::string server;
     absl::Time at;
     bool has_run = false;
+    std::string customer;   ///< Name of the customer that the server got.
+    bool shows_key = false; ///< A key was in the request.
 };
 
 /// The answer to a run as recorded by a backend server.
@@ -46,6 +49,25 @@
     http::response response;
 };
 
+/// A customer that the configurations declare.
+struct customer_record
+{
+    std::string name;
+    double rate_per_s = 0; ///< 0: no limit.
+    double burst = 0;
+};
+
+/// When a key was declared. A change is in force at a time between the first attempt to
+/// send it and its acknowledgement.
+struct key_record
+{
+    std::string customer;
+    absl::Time add_sent = absl::InfinitePast();
+    absl::Time added = absl::InfinitePast();
+    absl::Time revoke_sent = absl::InfiniteFuture();
+    absl::Time revoked = absl::InfiniteFuture();
+};
+
 /// Time spans in which injected faults affected a process. Checks with a time bound skip
 /// what was affected shortly before.
 class disturbances
@@ -81,10 +103,17 @@
     /// Records that a configuration read sent at `sent` returned configuration `number`.
     void add_read(std::uint64_t number, absl::Time sent);
     void add_problem(std::string it);
+    /// Without customers, nothing is checked about keys and rates.
+    void add(customer_record it);
+    /// Adds or replaces what is known of a key.
+    void add_key(const std::string& key, key_record it);
 
     std::uint64_t newest_acknowledged() const;
     std::size_t requests() const;
+    /// Number of requests that were answered with this status.
+    std::size_t answered_with(int status) const;
     /// Fraction of the requests sent since `it` that were answered with a success status.
+    /// Leaves out requests that are refused rightly for their key or a rate.
     double served_since(absl::Time it) const;
     /// Returns one line for each violation of a guarantee.
     std::vector<std::string> problems(const disturbances& disturbed) const;
@@ -98,6 +127,15 @@
     void
     check_departures(const disturbances& disturbed, std::vector<std::string>& to) const;
     void check_reads(std::vector<std::string>& to) const;
+    /// Keys and names of the requests that servers got.
+    void
+    check_customers(const disturbances& disturbed, std::vector<std::string>& to) const;
+    /// Runs of each customer in each window of its rate.
+    void check_rates(std::vector<std::string>& to) const;
+    const key_record* key_of(const request_record& it) const;
+    /// Whether the key was valid during the whole request, at each entry that isn't
+    /// disturbed.
+    bool has_valid_key(const request_record& it) const;
 
     mutable absl::Mutex mutex_;
     std::vector<request_record> requests_;
@@ -107,6 +145,8 @@
     std::vector<std::pair<absl::Time, std::uint64_t>> acknowledged_;
     std::vector<std::pair<absl::Time, std::uint64_t>> reads_;
     std::vector<std::string> problems_;
+    absl::btree_map<std::string, customer_record> customers_;
+    absl::btree_map<std::string, key_record> keys_;
 };
 
 /// The body of the answer to `request` with `signature`. It names both, so that a caller
--- a/tests/soak/ledger_test.cpp
+++ b/tests/soak/ledger_test.cpp
@@ -1,5 +1,6 @@
 #include "soak/ledger.hpp"
 
+#include <absl/strings/str_cat.h>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
@@ -45,6 +46,39 @@
         EXPECT_THAT(records.problems(disturbed), ElementsAre(HasSubstr(text)));
     }
 
+    /// Customers "A" with the key k-a and "B" with the key k-b, whose rate is 10 with a
+    /// burst of 10. The key k-old of "A" was revoked at `now`, and k-new added.
+    void declare_customers()
+    {
+        records.add(customer_record{"A"});
+        records.add(customer_record{"B", 10, 10});
+        records.add_key("k-a", {"A"});
+        records.add_key("k-b", {"B"});
+        key_record change{"A"};
+        change.revoke_sent = now - absl::Milliseconds(10);
+        change.revoked = now;
+        records.add_key("k-old", change);
+        records.add_key("k-new", {"A", change.revoke_sent, now});
+    }
+    /// A request that a server ran at once and that its caller got no answer to.
+    void add_run(
+        const std::string& id,
+        absl::Time at,
+        const std::string& key,
+        const std::string& customer)
+    {
+        request_record it{id, request_kind::safe, "entry-1", at, at, {}, key};
+        it.result.failure = http::failure::timeout;
+        records.add(std::move(it));
+        records.add(arrival_record{id, "s", at, true, customer});
+    }
+    void add_answer(absl::Time at, const std::string& key, int status)
+    {
+        request_record it{"q", request_kind::safe, "entry-1", at, at, {}, key};
+        it.result.response.status = status;
+        records.add(std::move(it));
+    }
+
     ledger records;
     disturbances disturbed;
     absl::Time now = absl::FromUnixSeconds(1000);
@@ -151,5 +185,93 @@
     expect_problem("stale configuration");
 }
 
+TEST_F(ledger_test, accepts_requests_of_customers)
+{
+    declare_customers();
+    add_run("1", now, "k-a", "A");
+    add_run("2", now + absl::Milliseconds(1900), "k-old", "A");
+    add_run("3", now, "k-new", "A");
+    add_answer(now + absl::Seconds(3), "k-old", 401);
+    add_answer(now + absl::Seconds(1), "k-new", 401);
+    add_answer(now, "", 401);
+    EXPECT_THAT(records.problems(disturbed), IsEmpty());
+}
+
+TEST_F(ledger_test, detects_a_run_without_a_known_key)
+{
+    declare_customers();
+    for (const char* key : {"", "k-unknown"}) {
+        add_run(absl::StrCat("q", key), now, key, "");
+    }
+    add_run("early", now - absl::Seconds(1), "k-new", "A");
+    EXPECT_THAT(
+        records.problems(disturbed),
+        ElementsAre(
+            HasSubstr("executed without a known key"),
+            HasSubstr("executed without a known key"),
+            HasSubstr("executed without a known key")));
+}
+
+TEST_F(ledger_test, detects_a_run_under_a_revoked_key_except_after_a_fault)
+{
+    declare_customers();
+    add_run("q", now + absl::Milliseconds(2100), "k-old", "A");
+    expect_problem("executed under a key revoked");
+    disturbed.add("control-1", now, now);
+    EXPECT_THAT(records.problems(disturbed), IsEmpty());
+}
+
+TEST_F(ledger_test, detects_the_name_of_another_customer)
+{
+    declare_customers();
+    add_run("q", now, "k-a", "B");
+    expect_problem("got the name 'B' for a key of 'A'");
+}
+
+TEST_F(ledger_test, detects_a_key_that_reaches_a_server)
+{
+    declare_customers();
+    records.add(arrival_record{"q", "s", now, false, "A", true});
+    expect_problem("a server got a key");
+}
+
+TEST_F(ledger_test, detects_an_exceeded_rate)
+{
+    declare_customers();
+    // 86 runs are allowed: (10 x 5 + 10) x 1.1 + 20.
+    for (int n = 0; n < 86; ++n) {
+        add_run(absl::StrCat("q", n), now + absl::Milliseconds(50) * n, "k-b", "B");
+    }
+    add_run("later", now + absl::Seconds(5), "k-b", "B");
+    EXPECT_THAT(records.problems(disturbed), IsEmpty());
+    add_run("one more", now + absl::Milliseconds(4990), "k-b", "B");
+    expect_problem("rate exceeded: 87 runs of B");
+}
+
+TEST_F(ledger_test, detects_a_valid_key_that_is_refused)
+{
+    declare_customers();
+    add_answer(now, "k-a", 401);
+    add_answer(now + absl::Milliseconds(2100), "k-new", 401);
+    EXPECT_THAT(
+        records.problems(disturbed),
+        ElementsAre(HasSubstr("valid key refused"), HasSubstr("valid key refused")));
+    disturbed.add("entry-1", now, now);
+    expect_problem("valid key refused");
+}
+
+TEST_F(ledger_test, requests_refused_rightly_do_not_lower_the_served_fraction)
+{
+    declare_customers();
+    add_answer(now, "k-a", 200);
+    add_answer(now, "k-unknown", 401);
+    add_answer(now, "k-b", 429);
+    EXPECT_EQ(records.served_since(now), 1);
+    add_answer(now, "k-a", 429);
+    EXPECT_EQ(records.served_since(now), 0.5);
+    add_answer(now, "k-b", 503);
+    EXPECT_LT(records.served_since(now), 0.4);
+}
+
 } // namespace
 } // namespace cuminpitch::testing
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak_run.hpp"
 
 #include "cuminpitch/core/random.hpp"
+#include "soak/customers.hpp"
 #include "soak/soak_fleet.hpp"
 #include "soak/stand_ins.hpp"
 
@@ -36,8 +37,8 @@
 {
 public:
     explicit soak(const soak_options& it)
-        : options_(it), random_(it.seed), fleet_({it.binaries, 3, 4}, loop_, disturbed_),
-          client_(http::client::create())
+        : options_(it), has_customers_(declares_customers(it.seed)), random_(it.seed),
+          fleet_({it.binaries, 3, 4}, loop_, disturbed_), client_(http::client::create())
     {
     }
     ~soak()
@@ -66,7 +67,14 @@
     void run_caller(unsigned n);
     std::vector<core::endpoint>
     resolve_entries(const std::vector<core::endpoint>& directories);
-    void send(const std::string& id, request_kind kind, const core::endpoint& to);
+    void send(
+        const std::string& id,
+        request_kind kind,
+        const core::endpoint& to,
+        const std::string& key);
+    void declare_customers();
+    /// Records that the key change was sent or, if `is_acknowledged`, acknowledged.
+    void note_key_change(bool is_acknowledged);
 
     void inject_fault(unsigned which);
     void inject_server_fault(unsigned which);
@@ -78,6 +86,7 @@
     void log_fault(const std::string& it);
 
     const soak_options options_;
+    const bool has_customers_;
     core::random_source random_;
     disturbances disturbed_;
     ledger records_;
@@ -93,8 +102,38 @@
     absl::Time started_ = absl::Now();
     unsigned last_server_ = 0;
     std::uint64_t number_ = 1;
+    key_record added_key_;
+    key_record revoked_key_;
 };
 
+void soak::declare_customers()
+{
+    for (const auto& it : soak_customers()) {
+        records_.add(customer_record{it.name, it.rate_per_s, it.burst});
+        for (const auto& key : it.keys) {
+            records_.add_key(key, {it.name});
+            if (key == soak_revoked_key) {
+                revoked_key_.customer = it.name;
+            }
+            if (key == soak_added_key) {
+                added_key_ = {it.name, absl::InfiniteFuture(), absl::InfiniteFuture()};
+                records_.add_key(key, added_key_);
+            }
+        }
+    }
+}
+
+void soak::note_key_change(bool is_acknowledged)
+{
+    const absl::Time now = absl::Now();
+    auto& added = is_acknowledged ? added_key_.added : added_key_.add_sent;
+    auto& revoked = is_acknowledged ? revoked_key_.revoked : revoked_key_.revoke_sent;
+    added = std::min(added, now);
+    revoked = std::min(revoked, now);
+    records_.add_key(soak_added_key, added_key_);
+    records_.add_key(soak_revoked_key, revoked_key_);
+}
+
 void soak::log_fault(const std::string& it)
 {
     faults_.push_back(absl::StrCat(
@@ -131,16 +170,23 @@
 
 bool soak::put_configuration(std::uint64_t number)
 {
+    const bool changes_keys = has_customers_ && number >= soak_key_change;
+    if (changes_keys) {
+        note_key_change(false);
+    }
     for (const auto& at : fleet_.control_api()) {
         http::client_request it;
         it.to = at;
         it.method = "PUT";
         it.target = "/-/config";
         it.headers.set("Content-Type", "application/json");
-        it.body = configuration(number);
+        it.body = configuration(number, has_customers_);
         const auto result = call(*client_, std::move(it), absl::Seconds(1));
         if (result.response.status == 200) {
             records_.add_acknowledged(number, absl::Now());
+            if (changes_keys) {
+                note_key_change(true);
+            }
             return true;
         }
         if (result.response.status >= 400 && result.response.status < 500) {
@@ -167,7 +213,7 @@
     const std::string version = read.is_object() ? read.value("version", "") : "";
     std::uint64_t number = 0;
     if (version.size() < 2 || !absl::SimpleAtoi(version.substr(1), &number) ||
-        result.response.body != configuration(number)) {
+        result.response.body != configuration(number, has_customers_)) {
         records_.add_problem("a read returned a configuration that no operator sent");
         return 0;
     }
@@ -216,7 +262,11 @@
     return out;
 }
 
-void soak::send(const std::string& id, request_kind kind, const core::endpoint& to)
+void soak::send(
+    const std::string& id,
+    request_kind kind,
+    const core::endpoint& to,
+    const std::string& key)
 {
     static constexpr const char* paths[] = {"/read/x", "/order/x", "/upload/x"};
     http::client_request it;
@@ -227,10 +277,16 @@
     it.headers.set("X-Attempt-Id", id);
     it.headers.set(
         "X-Deadline-Ms", absl::StrCat(absl::ToInt64Milliseconds(request_deadline)));
+    if (has_customers_) {
+        it.headers.set("X-Tenant", "Forged");
+    }
+    if (!key.empty()) {
+        it.headers.set("Authorization", "Token " + key);
+    }
     if (kind == request_kind::upload) {
         it.body = std::string(upload_bytes, 'u');
     }
-    request_record record{id, kind, fleet_.entry_at(to), absl::Now(), {}, {}};
+    request_record record{id, kind, fleet_.entry_at(to), absl::Now(), {}, {}, key};
     record.result = call(*client_, std::move(it), request_deadline);
     record.ended = absl::Now();
     records_.add(std::move(record));
@@ -241,6 +297,8 @@
 void soak::run_caller(unsigned n)
 {
     core::random_source random(options_.seed * 100 + n);
+    core::random_source key_random(options_.seed * 100 + n + 50);
+    const absl::Time begin = absl::Now();
     std::vector<core::endpoint> entries;
     absl::Time asked = absl::InfinitePast();
     for (unsigned i = 0; !stopping_; ++i) {
@@ -253,7 +311,10 @@
         }
         if (!entries.empty()) {
             const auto kind = static_cast<request_kind>(random() % 3);
-            send(absl::StrCat("q-", n, "-", i), kind, entries[random() % entries.size()]);
+            const auto& to = entries[random() % entries.size()];
+            const auto key =
+                has_customers_ ? pick_key(key_random, absl::Now() - begin) : "";
+            send(absl::StrCat("q-", n, "-", i), kind, to, key);
         }
         absl::SleepFor(request_interval / 2 + request_interval * (random() % 100) / 100);
     }
@@ -385,6 +446,9 @@
 
 bool soak::begin()
 {
+    if (has_customers_) {
+        declare_customers();
+    }
     for (unsigned n = 0; n < initial_servers; ++n) {
         add_server();
     }
@@ -477,6 +541,9 @@
     threads_.clear();
     servers_.clear(); // Waits for running requests, so that all are recorded.
     out.requests = records_.requests();
+    out.has_customers = has_customers_;
+    out.over_rate = records_.answered_with(429);
+    out.unauthorized = records_.answered_with(401);
     out.repetitions = loop_.repetitions();
     out.served = records_.served_since(absl::InfinitePast());
     out.problems = records_.problems(disturbed_);
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -20,6 +20,9 @@
     std::vector<std::string> problems; ///< One line for each violation of a guarantee.
     std::vector<std::string> faults;   ///< The injected faults in order of time.
     std::size_t requests = 0;
+    bool has_customers = false;
+    std::size_t over_rate = 0;     ///< Requests refused with 429.
+    std::size_t unauthorized = 0;  ///< Requests refused with 401.
     std::uint64_t repetitions = 0; ///< Writes of second answers of backend servers.
     double served = 0;             ///< Fraction of all requests that succeeded.
     double served_at_end = 0;      ///< The same fraction after the recovery.
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -53,9 +53,18 @@
     std::cout << "seed " << GetParam() << ": " << it.requests << " requests, "
               << it.served << " served, " << it.served_at_end << " at the end, "
               << it.faults.size() << " faults, " << it.repetitions
-              << " writes of second answers, logs in " << it.folder << std::endl;
+              << " writes of second answers, ";
+    if (it.has_customers) {
+        std::cout << "customers, " << it.over_rate << " over their rate, "
+                  << it.unauthorized << " without a valid key, ";
+    }
+    std::cout << "logs in " << it.folder << std::endl;
     EXPECT_GT(it.requests, 0U);
     EXPECT_GT(it.repetitions, 0U);
+    if (it.has_customers) {
+        EXPECT_GT(it.over_rate, 0U);
+        EXPECT_GT(it.unauthorized, 0U);
+    }
     EXPECT_TRUE(it.problems.empty()) << absl::StrJoin(it.problems, "\n") << "\nfaults:\n"
                                      << absl::StrJoin(it.faults, "\n");
 }
--- a/tests/soak/stand_ins.cpp
+++ b/tests/soak/stand_ins.cpp
@@ -1,5 +1,8 @@
 #include "soak/stand_ins.hpp"
 
+#include "soak/customers.hpp"
+
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/synchronization/notification.h>
 #include <absl/time/clock.h>
@@ -53,7 +56,7 @@
     return out;
 }
 
-std::string configuration(std::uint64_t number)
+std::string configuration(std::uint64_t number, bool has_customers)
 {
     const auto rule = [](const std::string& name, const char* kind) {
         return json{
@@ -79,11 +82,14 @@
         {"header-timeout-ms", 3000},
         {"idle-timeout-ms", 15000}};
     const json listener = {{"host", "soak.example"}, {"rule-set", rules}};
-    const json out = {
+    json out = {
         {"version", absl::StrCat("r", number)},
         {"limits", limits},
         {"listeners", json::array({listener})},
         {"clusters", json::array({service})}};
+    if (has_customers) {
+        out["tenants"] = tenants(number);
+    }
     return out.dump();
 }
 
@@ -155,6 +161,12 @@
     const bool is_refused =
         crashed_ || fault_ == server_fault::sheds || in_flight_ >= slots + queue;
     arrival_record arrival{request, self_.id, absl::Now(), false};
+    arrival.customer = it.headers.get("X-Tenant");
+    for (const auto& [name, value] : it.headers.fields()) {
+        arrival.shows_key = arrival.shows_key ||
+                            absl::StrContains(name, soak_key_prefix) ||
+                            absl::StrContains(value, soak_key_prefix);
+    }
     if (it.headers.get("X-Target-Instance") != self_.id) {
         to->respond(not_run(421));
     } else if (request.empty()) {
--- a/tests/soak/stand_ins.hpp
+++ b/tests/soak/stand_ins.hpp
@@ -100,7 +100,7 @@
 call(http::client& client, http::client_request it, absl::Duration timeout);
 
 /// Configuration `number`, with routes for /read/ (safe), /order/ (unsafe), /upload/ and
-/// one whose name holds the number.
-std::string configuration(std::uint64_t number);
+/// one whose name holds the number, and with customers if the fleet has some.
+std::string configuration(std::uint64_t number, bool has_customers);
 
 } // namespace cuminpitch::testing
