Keep the rate if two owners can't reach each other

Customers got twice their rate for as long as two owners of their permits couldn't reach each other, while control and the third owner reached both: the first grants the rate, and the second one, which doesn't hear it, took it for lost. Why these two couldn't reach each other isn't traced.

The successor asks the third owner whether it hears the first one.

--- a/src/entry/allowance_owner.cpp
+++ b/src/entry/allowance_owner.cpp
@@ -80,7 +80,11 @@
     if (!has_control || !has_majority) {
         return disconnected_share;
     }
-    return now - it.alone_since < takeover_time ? takeover_share : 1;
+    if (now - it.alone_since < takeover_time) {
+        return takeover_share;
+    }
+    // An owner before this one grants the rate, but can't reach this one.
+    return now - it.heard_elsewhere < contact_timeout ? disconnected_share : 1;
 }
 
 double
@@ -142,7 +146,7 @@
         }
         if (now >= it.next_query) {
             it.next_query = now + query_interval;
-            query_others(it);
+            query_others(it, customer);
         }
     }
     const double rate_share = share(now, it);
@@ -163,15 +167,40 @@
     return out;
 }
 
-void allowance_owner::query_others(const ledger& it)
+void allowance_owner::query_others(
+    const ledger& it, const std::optional<core::customer_id>& customer)
 {
     for (const auto& each : it.owners) {
         if (each.id != self_.id) {
-            queries_.push_back(each.internal);
+            queries_.push_back({each.internal, customer});
         }
     }
 }
 
+bool allowance_owner::hears_earlier(
+    absl::Time now, const core::customer_id& customer, const core::endpoint& asker)
+{
+    bool out = false;
+    for (const auto& each : permit_owners(customer.str(), entries_)) {
+        if (each.internal == asker) {
+            break;
+        }
+        if (each.id != self_.id) {
+            out = out || hears(now, each);
+            queries_.push_back({each.internal, std::nullopt});
+        }
+    }
+    return out;
+}
+
+void allowance_owner::record_earlier(
+    absl::Time now, const core::customer_id& customer, bool is_heard_elsewhere)
+{
+    if (const auto it = ledgers_.find(customer); it != ledgers_.end()) {
+        it->second.heard_elsewhere = is_heard_elsewhere ? now : absl::InfinitePast();
+    }
+}
+
 void allowance_owner::check_suspension(absl::Time now)
 {
     if (now - last_tick_ > suspension_time && last_tick_ != absl::InfinitePast()) {
@@ -206,7 +235,7 @@
     next_query_ = now + query_interval;
     for (const auto& [customer, it] : ledgers_) {
         if (it.position == 0) {
-            query_others(it);
+            query_others(it, std::nullopt);
         }
     }
     std::sort(queries_.begin(), queries_.end());
--- a/src/entry/allowance_owner_priv.hpp
+++ b/src/entry/allowance_owner_priv.hpp
@@ -9,6 +9,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -61,7 +62,22 @@
 
     /// Asks other owners for a sign of life while this entry depends on it.
     void tick(absl::Time now);
-    std::vector<core::endpoint> take_queries() { return std::exchange(queries_, {}); }
+    struct query
+    {
+        core::endpoint to;
+        /// If set, the other owner answers for hears_earlier(), too.
+        std::optional<core::customer_id> customer;
+
+        friend auto operator<=>(const query&, const query&) = default;
+    };
+    std::vector<query> take_queries() { return std::exchange(queries_, {}); }
+    /// Whether this entry hears an owner of the customer's permits that comes before the
+    /// one that asks. Asks these owners for a sign of life.
+    bool hears_earlier(
+        absl::Time now, const core::customer_id& customer, const core::endpoint& asker);
+    /// Records the answer of another owner for hears_earlier().
+    void record_earlier(
+        absl::Time now, const core::customer_id& customer, bool is_heard_elsewhere);
     bool is_idle() const { return ledgers_.empty(); }
     std::size_t ledgers() const { return ledgers_.size(); }
     /// Number of entries that were heard lately.
@@ -75,6 +91,9 @@
         std::size_t position = 0;
         /// The owners before this entry have been silent since.
         absl::Time alone_since = absl::InfiniteFuture();
+        /// When another owner last answered that it hears one of these, unless it has
+        /// answered otherwise since.
+        absl::Time heard_elsewhere = absl::InfinitePast();
         /// Requests that were refused lately, which come back.
         double refused = 0;
         absl::Time refused_at;
@@ -87,7 +106,7 @@
     bool hears(absl::Time now, const control::entry_record& it) const;
     /// The part of the rate that this entry may grant.
     double share(absl::Time now, const ledger& it) const;
-    void query_others(const ledger& it);
+    void query_others(const ledger& it, const std::optional<core::customer_id>& customer);
     /// Lowers all tokens if this entry was suspended since the last tick.
     void check_suspension(absl::Time now);
 
@@ -102,7 +121,7 @@
     absl::Time next_forget_ = absl::InfinitePast();
     absl::btree_map<core::endpoint, absl::Time> heard_;
     absl::btree_map<core::customer_id, ledger> ledgers_;
-    std::vector<core::endpoint> queries_;
+    std::vector<query> queries_;
 };
 
 } // namespace cuminpitch::entry
--- a/src/entry/allowances.cpp
+++ b/src/entry/allowances.cpp
@@ -21,14 +21,17 @@
 /// Permits are requested in advance for this time of the demand.
 constexpr absl::Duration advance_time = absl::Milliseconds(250);
 /// After a refusal the owner is asked again after this time, or when it expects to have a
-/// permit, if that is sooner. Bounds the messages of an owner under a burst: four a second
-/// of each entry.
+/// permit, if that is sooner. Bounds the messages of an owner under a burst: four a
+/// second of each entry.
 constexpr absl::Duration refusal_time = absl::Milliseconds(250);
 constexpr absl::Duration demand_time_constant = absl::Seconds(1);
 constexpr absl::Duration unused_account_time = absl::Seconds(10);
 constexpr absl::Duration min_retry_after = absl::Milliseconds(100);
 constexpr absl::Duration max_retry_after = absl::Seconds(10);
 
+/// Time of a query for a sign of life, which no request for permits has.
+constexpr absl::Time query_time = absl::UnixEpoch();
+
 /// Names no customer, since names have no question mark. A message without a customer
 /// would concern a server.
 core::customer_id no_customer()
@@ -180,6 +183,9 @@
     const auto declared = allowance_of(*it.customer);
     // An owner that doesn't have the newest declarations yet is asked again.
     response.is_redirect = !declared && it.wanted > 0;
+    if (declared && it.sent == query_time) {
+        response.is_redirect = owner_.hears_earlier(now, *it.customer, from.internal);
+    }
     if (declared && it.wanted > 0) {
         const auto answer = owner_.grant(now, *it.customer, *declared, it.wanted);
         response.granted = answer.granted;
@@ -194,6 +200,10 @@
 {
     owner_.record_contact(now, from.internal);
     silent_.erase(from.internal);
+    if (it.echo == query_time) {
+        owner_.record_earlier(now, *it.customer, it.is_redirect);
+        return;
+    }
     const auto found = accounts_.find(*it.customer);
     if (found != accounts_.end()) {
         accept(now, found->first, found->second, it);
@@ -263,12 +273,12 @@
 void allowances::tick(absl::Time now)
 {
     owner_.tick(now);
-    for (const auto& to : owner_.take_queries()) {
+    for (auto& it : owner_.take_queries()) {
         control::permit_request query;
-        query.customer = no_customer();
+        query.customer = it.customer ? std::move(*it.customer) : no_customer();
         query.known.phase = control::rate_phase::ended;
-        query.sent = now;
-        out_.push_back({to, std::move(query)});
+        query.sent = query_time;
+        out_.push_back({it.to, std::move(query)});
     }
     for (const auto& customer : std::vector(waiting_.begin(), waiting_.end())) {
         auto& it = accounts_.at(customer);
--- a/tests/entry/allowances_test.cpp
+++ b/tests/entry/allowances_test.cpp
@@ -71,6 +71,8 @@
     void set_suspended(std::size_t n, bool it) { entries_[n].is_suspended = it; }
     /// Entries of different groups can't reach each other. Group 0 reaches control.
     void set_group(std::size_t n, int group) { entries_[n].group = group; }
+    /// Drops all messages between two entries.
+    void cut(std::size_t a, std::size_t b) { cut_ = {{a, b}, {b, a}}; }
     std::vector<std::size_t> owners() const
     {
         std::vector<std::size_t> out;
@@ -175,11 +177,10 @@
             const auto to = each.to.port - 1U;
             auto message = wire::decode_control_message(wire::encode(each.message));
             ASSERT_TRUE(message.has_value());
-            if (entries_[to].group == it.group) {
+            if (entries_[to].group == it.group && !cut_.contains({n, to})) {
                 const auto delay = absl::Milliseconds(1 + random_() % 3);
                 on_their_way_.emplace(
-                    now_ + delay,
-                    message_on_its_way{n, to, std::move(message).value()});
+                    now_ + delay, message_on_its_way{n, to, std::move(message).value()});
             }
         }
         for (const auto& each : it.rules->take_decisions()) {
@@ -225,6 +226,7 @@
     std::shared_ptr<const config::declarations> declared_;
     std::vector<simulated_entry> entries_;
     std::multimap<absl::Time, message_on_its_way> on_their_way_;
+    std::set<std::pair<std::size_t, std::size_t>> cut_;
     /// The clock of the processes counts nanoseconds, and messages carry microseconds.
     absl::Time now_ = absl::UnixEpoch() + absl::Seconds(1000) + absl::Nanoseconds(123);
     double due_ = 0;
@@ -341,6 +343,20 @@
     }
 }
 
+// Guards against two owners that both grant the rate since they can't reach each other,
+// while control and the third owner reach both.
+TEST(allowances, window_limit_holds_if_two_owners_cannot_reach_each_other)
+{
+    for (const std::size_t size : {4U, 30U}) {
+        allowance_fleet fleet(size, 100, 100, 1);
+        const auto owners = fleet.owners();
+        fleet.run(absl::Seconds(6), 470, first_entries(size));
+        fleet.cut(owners[0], owners[1]);
+        fleet.run(absl::Seconds(20), 470, first_entries(size));
+        EXPECT_LE(static_cast<double>(fleet.most_in_window()), fleet.limit()) << size;
+    }
+}
+
 // Guards against a customer that is refused for long because the owner of its permits is
 // lost. Its successor grants 0.3 of the rate for 1.5 s.
 TEST(allowances, other_owners_replace_a_lost_one)
@@ -381,8 +397,7 @@
                  core::failure_domain_id("d")});
         }
         declare(100);
-        self = std::make_unique<allowances>(
-            records[0], core::random_source(1), metrics);
+        self = std::make_unique<allowances>(records[0], core::random_source(1), metrics);
         self->set_declared(declared);
         self->set_entries(now, records);
     }
