Don't let processes of the soak inherit connections of its proxies

A process that was restarted during a run inherited the sockets of the proxies. When a proxy reset such a connection, or its target was killed, the other end stayed open in the child, where nobody read it: entries went on sending to it, without an error, for the rest of the run. In /proc/net/tcp, connections from before the reset were still established, with 3.8 to 15 KB unread.

child_process closes all descriptors but the standard ones. The test failed before.

--- a/tests/soak/stand_ins_test.cpp
+++ b/tests/soak/stand_ins_test.cpp
@@ -1,11 +1,18 @@
 #include "soak/stand_ins.hpp"
 
 #include "http/raw_socket.hpp"
+#include "support/child_process.hpp"
 
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 #include <gtest/gtest.h>
 
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+
 namespace cuminpitch::testing {
 namespace {
 
@@ -58,6 +65,21 @@
     }
 }
 
+// Guards against connections of the proxies that no reset ends, because a process that
+// was started meanwhile has them open too: what is sent to them is lost without an error.
+TEST(child_process, inherits_no_connection)
+{
+    std::array<int, 2> ends{};
+    ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends.data()), 0);
+    const auto child = child_process::start({"/bin/sleep", "5"}, "/dev/null");
+    ASSERT_TRUE(child.has_value());
+    ::close(ends[0]);
+    pollfd it{ends[1], POLLIN, 0};
+    EXPECT_EQ(::poll(&it, 1, 1000), 1);
+    EXPECT_NE(it.revents & POLLHUP, 0);
+    ::close(ends[1]);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     faults,
     second_answers_test,
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -54,6 +54,8 @@
     posix_spawn_file_actions_addopen(
         &actions, STDOUT_FILENO, log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A connection that this process closes would stay open, unread, in the child.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     pid_t pid = -1;
     const int rc = ::posix_spawn(&pid, argv[0], &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
