--- a/tests/entry/allowance_owner_test.cpp
+++ b/tests/entry/allowance_owner_test.cpp
@@ -15,6 +15,7 @@
     void become(std::size_t position)
     {
         std::vector<control::entry_record> all;
+        all.reserve(6);
         for (int n = 0; n < 6; ++n) {
             all.push_back(
                 {core::instance_id(absl::StrCat("e", n)),
@@ -82,8 +83,8 @@
     EXPECT_GE(drain(absl::Seconds(2)), 0.9 * 20 * 2);
 }
 
-// Guards against a full bucket of an owner that was suspended, while another owner granted
-// the rate, if it reads a message before its first tick.
+// Guards against a full bucket of an owner that was suspended, while another owner
+// granted the rate, if it reads a message before its first tick.
 TEST_F(allowance_owner_test, suspension_is_noticed_by_a_request_too)
 {
     become(0);
--- a/tests/entry/allowances_test.cpp
+++ b/tests/entry/allowances_test.cpp
@@ -389,6 +389,7 @@
 protected:
     one_entry()
     {
+        records.reserve(8);
         for (int n = 0; n < 8; ++n) {
             records.push_back(
                 {core::instance_id(absl::StrCat("e", n)),
