--- a/src/entry/allowance_owner.cpp
+++ b/src/entry/allowance_owner.cpp
@@ -80,7 +80,11 @@
     if (!has_control || !has_majority) {
         return disconnected_share;
     }
-    return now - it.alone_since < takeover_time ? takeover_share : 1;
+    if (now - it.alone_since < takeover_time) {
+        return takeover_share;
+    }
+    // An owner before this one grants the rate, but can't reach this one.
+    return now - it.heard_elsewhere < contact_timeout ? disconnected_share : 1;
 }
 
 double
@@ -118,7 +122,9 @@
 allowance_owner::answer allowance_owner::grant(
     absl::Time now, const core::customer_id& customer, allowance of, std::uint32_t wanted)
 {
+    check_suspension(now);
     auto& it = open(now, customer, of);
+    const bool was_idle = now - it.used >= contact_timeout;
     it.used = now;
     if (it.position >= it.owners.size()) {
         return {0, absl::ZeroDuration(), true};
@@ -132,10 +138,15 @@
         return {0, absl::ZeroDuration(), true};
     }
     if (it.position > 0) {
-        it.alone_since = std::min(it.alone_since, now);
+        // Meanwhile the first owner may have granted, and tokens have accumulated here.
+        if (was_idle || it.alone_since == absl::InfiniteFuture()) {
+            it.alone_since = now;
+            it.tokens.refill(now);
+            it.tokens.limit(start_tokens(now, it, of));
+        }
         if (now >= it.next_query) {
             it.next_query = now + query_interval;
-            query_others(customer, it);
+            query_others(it, customer);
         }
     }
     const double rate_share = share(now, it);
@@ -156,20 +167,41 @@
     return out;
 }
 
-void allowance_owner::query_others(const core::customer_id& customer, const ledger& it)
+void allowance_owner::query_others(
+    const ledger& it, const std::optional<core::customer_id>& customer)
 {
     for (const auto& each : it.owners) {
-        const bool is_queried =
-            std::any_of(queries_.begin(), queries_.end(), [&](const query& other) {
-                return other.to == each.internal;
-            });
-        if (each.id != self_.id && !is_queried) {
+        if (each.id != self_.id) {
             queries_.push_back({each.internal, customer});
         }
     }
 }
 
-void allowance_owner::tick(absl::Time now)
+bool allowance_owner::hears_earlier(
+    absl::Time now, const core::customer_id& customer, const core::endpoint& asker)
+{
+    bool out = false;
+    for (const auto& each : permit_owners(customer.str(), entries_)) {
+        if (each.internal == asker) {
+            break;
+        }
+        if (each.id != self_.id) {
+            out = out || hears(now, each);
+            queries_.push_back({each.internal, std::nullopt});
+        }
+    }
+    return out;
+}
+
+void allowance_owner::record_earlier(
+    absl::Time now, const core::customer_id& customer, bool is_heard_elsewhere)
+{
+    if (const auto it = ledgers_.find(customer); it != ledgers_.end()) {
+        it->second.heard_elsewhere = is_heard_elsewhere ? now : absl::InfinitePast();
+    }
+}
+
+void allowance_owner::check_suspension(absl::Time now)
 {
     if (now - last_tick_ > suspension_time && last_tick_ != absl::InfinitePast()) {
         for (auto& [customer, it] : ledgers_) {
@@ -177,7 +209,13 @@
         }
         entries_since_ = now;
         earlier_entries_ = entries_;
+        last_tick_ = now;
     }
+}
+
+void allowance_owner::tick(absl::Time now)
+{
+    check_suspension(now);
     last_tick_ = now;
     absl::erase_if(ledgers_, [&](auto& each) {
         auto& it = each.second;
@@ -185,15 +223,23 @@
         return now - it.used >= unused_ledger_time &&
                it.tokens.tokens() >= it.tokens.capacity();
     });
+    if (now >= next_forget_) {
+        next_forget_ = now + contact_timeout;
+        absl::erase_if(heard_, [&](const auto& each) {
+            return now - each.second >= contact_timeout;
+        });
+    }
     if (now < next_query_ || now - confirmed_ < contact_timeout / 2) {
         return;
     }
     next_query_ = now + query_interval;
     for (const auto& [customer, it] : ledgers_) {
         if (it.position == 0) {
-            query_others(customer, it);
+            query_others(it, std::nullopt);
         }
     }
+    std::sort(queries_.begin(), queries_.end());
+    queries_.erase(std::unique(queries_.begin(), queries_.end()), queries_.end());
 }
 
 } // namespace cuminpitch::entry
--- a/src/entry/allowance_owner_priv.hpp
+++ b/src/entry/allowance_owner_priv.hpp
@@ -9,6 +9,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -64,11 +65,23 @@
     struct query
     {
         core::endpoint to;
-        core::customer_id customer; ///< One of those that the entry owns.
+        /// If set, the other owner answers for hears_earlier(), too.
+        std::optional<core::customer_id> customer;
+
+        friend auto operator<=>(const query&, const query&) = default;
     };
     std::vector<query> take_queries() { return std::exchange(queries_, {}); }
+    /// Whether this entry hears an owner of the customer's permits that comes before the
+    /// one that asks. Asks these owners for a sign of life.
+    bool hears_earlier(
+        absl::Time now, const core::customer_id& customer, const core::endpoint& asker);
+    /// Records the answer of another owner for hears_earlier().
+    void record_earlier(
+        absl::Time now, const core::customer_id& customer, bool is_heard_elsewhere);
     bool is_idle() const { return ledgers_.empty(); }
     std::size_t ledgers() const { return ledgers_.size(); }
+    /// Number of entries that were heard lately.
+    std::size_t contacts() const { return heard_.size(); }
 
 private:
     struct ledger
@@ -78,6 +91,9 @@
         std::size_t position = 0;
         /// The owners before this entry have been silent since.
         absl::Time alone_since = absl::InfiniteFuture();
+        /// When another owner last answered that it hears one of these, unless it has
+        /// answered otherwise since.
+        absl::Time heard_elsewhere = absl::InfinitePast();
         /// Requests that were refused lately, which come back.
         double refused = 0;
         absl::Time refused_at;
@@ -90,7 +106,9 @@
     bool hears(absl::Time now, const control::entry_record& it) const;
     /// The part of the rate that this entry may grant.
     double share(absl::Time now, const ledger& it) const;
-    void query_others(const core::customer_id& customer, const ledger& it);
+    void query_others(const ledger& it, const std::optional<core::customer_id>& customer);
+    /// Lowers all tokens if this entry was suspended since the last tick.
+    void check_suspension(absl::Time now);
 
     control::entry_record self_;
     std::vector<control::entry_record> entries_;
@@ -100,6 +118,7 @@
     absl::Time confirmed_ = absl::InfinitePast();
     absl::Time last_tick_ = absl::InfinitePast();
     absl::Time next_query_ = absl::InfinitePast();
+    absl::Time next_forget_ = absl::InfinitePast();
     absl::btree_map<core::endpoint, absl::Time> heard_;
     absl::btree_map<core::customer_id, ledger> ledgers_;
     std::vector<query> queries_;
--- a/src/entry/allowances.cpp
+++ b/src/entry/allowances.cpp
@@ -23,14 +23,25 @@
 /// a customer with two a second or more at this entry seldom wait. Half of the validity,
 /// so that few of them expire.
 constexpr absl::Duration advance_time = absl::Milliseconds(500);
-/// After a refusal the owner is asked again after this time. Bounds the messages of an
-/// owner under a burst: four a second of each entry.
+/// After a refusal the owner is asked again after this time, or when it expects to have a
+/// permit, if that is sooner. Bounds the messages of an owner under a burst: four a
+/// second of each entry.
 constexpr absl::Duration refusal_time = absl::Milliseconds(250);
 constexpr absl::Duration demand_time_constant = absl::Seconds(1);
 constexpr absl::Duration unused_account_time = absl::Seconds(10);
 constexpr absl::Duration min_retry_after = absl::Milliseconds(100);
 constexpr absl::Duration max_retry_after = absl::Seconds(10);
 
+/// Time of a query for a sign of life, which no request for permits has.
+constexpr absl::Time query_time = absl::UnixEpoch();
+
+/// Names no customer, since names have no question mark. A message without a customer
+/// would concern a server.
+core::customer_id no_customer()
+{
+    return {core::team_id("?"), "?"};
+}
+
 const char* to_string(outcome it)
 {
     switch (it) {
@@ -93,9 +104,8 @@
     count_demand(now, it);
     if (it.waiting.empty() && it.permits.take(now)) {
         decide(now, it, id, outcome::granted);
-        const auto advance = advance_permits(it);
         if (!it.awaits_response && now >= it.over_until &&
-            2 * it.permits.count(now) < advance) {
+            2 * it.permits.count(now) < advance_permits(it)) {
             ask(now, customer, it);
         }
         return;
@@ -142,14 +152,16 @@
     const auto advance = advance_permits(it);
     const auto held = std::min(advance, it.permits.count(now));
     request.wanted = static_cast<std::uint32_t>(it.waiting.size()) + advance - held;
-    // Messages carry microseconds, and the response is recognized by this time.
+    // The response returns the time in microseconds.
     request.sent = absl::FromUnixMicros(absl::ToUnixMicros(now));
     it.requested = request.sent;
-    it.asked_for = request.wanted;
+    it.needed = static_cast<std::uint32_t>(it.waiting.size());
     it.awaits_response = true;
+    it.asked.reset();
     const auto declared = allowance_of(customer);
     if (!declared) {
         decide_waiting(now, it, outcome::granted);
+        waiting_.erase(customer);
         it.awaits_response = false;
         return;
     }
@@ -158,6 +170,7 @@
     }
     const auto& owner = it.owners[owner_position(now, it)];
     if (owner.id != self_.id) {
+        it.asked = owner.internal;
         out_.push_back({owner.internal, std::move(request)});
         return;
     }
@@ -178,6 +191,11 @@
     response.customer = it.customer;
     response.echo = it.sent;
     const auto declared = allowance_of(*it.customer);
+    // An owner that doesn't have the newest declarations yet is asked again.
+    response.is_redirect = !declared && it.wanted > 0;
+    if (declared && it.sent == query_time) {
+        response.is_redirect = owner_.hears_earlier(now, *it.customer, from.internal);
+    }
     if (declared && it.wanted > 0) {
         const auto answer = owner_.grant(now, *it.customer, *declared, it.wanted);
         response.granted = answer.granted;
@@ -192,6 +210,10 @@
 {
     owner_.record_contact(now, from.internal);
     silent_.erase(from.internal);
+    if (it.echo == query_time) {
+        owner_.record_earlier(now, *it.customer, it.is_redirect);
+        return;
+    }
     const auto found = accounts_.find(*it.customer);
     if (found != accounts_.end()) {
         accept(now, found->first, found->second, it);
@@ -225,9 +247,10 @@
         decide(now, it, it.waiting.front().id, outcome::granted);
         it.waiting.pop_front();
     }
-    if (response.granted < it.asked_for) {
+    // Fewer permits in advance than wanted are no reason to refuse.
+    if (response.granted < it.needed) {
         it.room_at = now + response.expected_wait;
-        it.over_until = now + refusal_time;
+        it.over_until = std::min(now + refusal_time, it.room_at);
         decide_waiting(now, it, outcome::over_allowance);
     }
     if (it.waiting.empty()) {
@@ -263,17 +286,16 @@
     owner_.tick(now);
     for (auto& it : owner_.take_queries()) {
         control::permit_request query;
-        query.customer = std::move(it.customer);
-        query.sent = now;
+        query.customer = it.customer ? std::move(*it.customer) : no_customer();
+        query.sent = query_time;
         out_.push_back({it.to, std::move(query)});
     }
     for (const auto& customer : std::vector(waiting_.begin(), waiting_.end())) {
         auto& it = accounts_.at(customer);
         if (it.awaits_response && now - it.requested >= response_timeout) {
             it.awaits_response = false;
-            if (!it.owners.empty()) {
-                const auto& owner = it.owners[owner_position(now, it)];
-                silent_[owner.internal] = now + silent_owner_time;
+            if (it.asked) {
+                silent_[*it.asked] = now + silent_owner_time;
                 metrics_.add("cuminpitch_allowance_owners_lost_total");
             }
         }
--- a/src/entry/allowances_priv.hpp
+++ b/src/entry/allowances_priv.hpp
@@ -74,7 +74,9 @@
         std::deque<waiting_request> waiting;
         std::vector<control::entry_record> owners;
         absl::Time requested; ///< When the owner was asked last.
-        std::uint32_t asked_for = 0;
+        /// The owner that was asked last. Empty if there was none, or this entry is it.
+        std::optional<core::endpoint> asked;
+        std::uint32_t needed = 0; ///< Requests that waited then.
         bool awaits_response = false;
         /// Requests are refused without asking the owner until then.
         absl::Time over_until = absl::InfinitePast();
