--- a/tests/entry/allowances_test.cpp
+++ b/tests/entry/allowances_test.cpp
@@ -281,7 +281,8 @@
             << spread;
         EXPECT_LE(static_cast<double>(fleet.most_in_window()), fleet.limit()) << spread;
         // Each entry is refused four times a second at most, and else gets a permit.
-        const auto asked = 94U * 4 * 10 + fleet.granted() - before;
+        constexpr std::size_t refusals = std::size_t{94} * 4 * 10;
+        const auto asked = refusals + fleet.granted() - before;
         EXPECT_LE(fleet.messages() - messages, 2 * asked) << spread;
     }
     allowance_fleet small(94, 2, 2, 9);
