State the bound on permit messages as it is tested

The comment named four messages a second of each entry; the test allows one for each permit besides, since a request without a permit asks again when it gets one.

--- a/src/entry/allowances.cpp
+++ b/src/entry/allowances.cpp
@@ -25,7 +25,7 @@
 constexpr absl::Duration advance_time = absl::Milliseconds(500);
 /// After a refusal the owner is asked again after this time, or when it expects to have a
 /// permit, if that is sooner. Bounds the messages of an owner under a burst: four a
-/// second of each entry.
+/// second of each entry, and one for each permit.
 constexpr absl::Duration refusal_time = absl::Milliseconds(250);
 constexpr absl::Duration demand_time_constant = absl::Seconds(1);
 constexpr absl::Duration unused_account_time = absl::Seconds(10);
