Log the steady clock, and connections between processes that are lost

Each line now has `boot_ms`, the time since boot, beside `time`. The transport logs `connection lost` once for each outage of a peer and `connection restored` with its length and the frames dropped. The function for the time since boot moves from the daemons to core, as net uses it.

--- a/src/cli/explain.cpp
+++ b/src/cli/explain.cpp
@@ -37,8 +37,8 @@
         << plain_text(it.fields.value("process", nlohmann::ordered_json(""))) << "  "
         << plain_text(it.fields["event"]);
     for (const auto& [name, value] : it.fields.items()) {
-        if (name != "time" && name != "process" && name != "event" && name != "level" &&
-            name != "request") {
+        if (name != "time" && name != "boot_ms" && name != "process" && name != "event" &&
+            name != "level" && name != "request") {
             out << "  " << name << "=" << plain_text(value);
         }
     }
--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -4,6 +4,7 @@
 #include "cuminpitch/control/bootstrap.hpp"
 #include "cuminpitch/control/declared_settings.hpp"
 #include "cuminpitch/control/node.hpp"
+#include "cuminpitch/core/clock.hpp"
 #include "cuminpitch/http/server.hpp"
 #include "cuminpitch/net/tcp_transport.hpp"
 #include "cuminpitch/telemetry/log.hpp"
@@ -120,9 +121,9 @@
     template <class Use>
     bool timed(const Use& use)
     {
-        const absl::Time begin = monotonic_now();
+        const absl::Time begin = core::monotonic_now();
         const bool done = use();
-        storage_time_ += monotonic_now() - begin;
+        storage_time_ += core::monotonic_now() - begin;
         return done;
     }
     bool run(control::action::respond& it);
@@ -199,8 +200,8 @@
     if (directory_server_) {
         directory_server_->stop_listening();
     }
-    const absl::Time end = monotonic_now() + absl::Seconds(2);
-    while (server_->in_flight() > 0 && monotonic_now() < end) {
+    const absl::Time end = core::monotonic_now() + absl::Seconds(2);
+    while (server_->in_flight() > 0 && core::monotonic_now() < end) {
         absl::SleepFor(tick_interval);
     }
     telemetry::log(telemetry::severity::info, "stopped", {{"id", settings_.id.str()}});
@@ -333,7 +334,7 @@
         control::make_compile_function(),
         seed,
         metrics_,
-        monotonic_now());
+        core::monotonic_now());
     if (!node_) {
         return make_error_code(core::errc::damaged_record);
     }
@@ -455,17 +456,18 @@
     if (signal == process_signal::reload) {
         telemetry::log(telemetry::severity::info, "reload", {{"id", settings_.id.str()}});
     }
-    if (auto seeds = seeds_.check(monotonic_now(), signal == process_signal::reload)) {
+    if (auto seeds =
+            seeds_.check(core::monotonic_now(), signal == process_signal::reload)) {
         std::erase(*seeds, settings_.internal);
         events.emplace_back(control::event::peers_changed{std::move(*seeds)});
     }
-    const absl::Time begin = monotonic_now();
+    const absl::Time begin = core::monotonic_now();
     for (auto& it : events) {
-        node_->handle(monotonic_now(), std::move(it));
+        node_->handle(core::monotonic_now(), std::move(it));
     }
-    node_->handle(monotonic_now(), control::event::tick{});
+    node_->handle(core::monotonic_now(), control::event::tick{});
     auto actions = node_->take_actions();
-    const absl::Time decided = monotonic_now();
+    const absl::Time decided = core::monotonic_now();
     storage_time_ = absl::ZeroDuration();
     for (auto& it : actions) {
         if (!std::visit([this](auto& what) { return run(what); }, it)) {
@@ -479,7 +481,7 @@
 void control_daemon::log_if_slow(
     absl::Time begin, absl::Time decided, std::size_t events, std::size_t actions) const
 {
-    const absl::Time end = monotonic_now();
+    const absl::Time end = core::monotonic_now();
     if (end - begin < slow_batch) {
         return;
     }
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -1,6 +1,7 @@
 #include "cuminpitch/daemon/entry_daemon.hpp"
 
 #include "cuminpitch/control/declared_settings.hpp"
+#include "cuminpitch/core/clock.hpp"
 #include "cuminpitch/entry/node.hpp"
 #include "cuminpitch/http/client.hpp"
 #include "cuminpitch/http/server.hpp"
@@ -184,7 +185,7 @@
                 telemetry::severity::info, "reload", {{"id", settings_.id.str()}});
         }
         if (auto seeds =
-                seeds_.check(monotonic_now(), signal == process_signal::reload)) {
+                seeds_.check(core::monotonic_now(), signal == process_signal::reload)) {
             handle(entry::event::control_changed{std::move(*seeds)});
         }
         handle(entry::event::tick{});
@@ -292,7 +293,7 @@
     {
         const absl::MutexLock lock(&mutex_);
         id = core::request_id(++last_request_);
-        exchanges_[id] = {exchange, monotonic_now()};
+        exchanges_[id] = {exchange, core::monotonic_now()};
     }
     handle(entry::event::http_request{
         id, std::make_shared<const http::request>(std::move(message))});
@@ -312,7 +313,7 @@
 void entry_daemon::handle(entry::node_event it)
 {
     const absl::MutexLock lock(&mutex_);
-    for (auto& action : node_.handle(monotonic_now(), std::move(it))) {
+    for (auto& action : node_.handle(core::monotonic_now(), std::move(it))) {
         execute(action);
     }
 }
@@ -329,7 +330,8 @@
         return;
     }
     metrics_.record(
-        "cuminpitch_request_duration_seconds", monotonic_now() - found->second.received);
+        "cuminpitch_request_duration_seconds",
+        core::monotonic_now() - found->second.received);
     const auto exchange = std::move(found->second.exchange);
     exchanges_.erase(found);
     exchange->respond(std::move(it.response));
@@ -378,8 +380,8 @@
 void entry_daemon::wait_for_flush()
 {
     server_->stop_listening();
-    const absl::Time end = monotonic_now() + flush_timeout;
-    while (server_->in_flight() > 0 && monotonic_now() < end) {
+    const absl::Time end = core::monotonic_now() + flush_timeout;
+    while (server_->in_flight() > 0 && core::monotonic_now() < end) {
         absl::SleepFor(tick_interval);
     }
 }
--- a/src/net/tcp_transport.cpp
+++ b/src/net/tcp_transport.cpp
@@ -1,5 +1,7 @@
 #include "cuminpitch/net/tcp_transport.hpp"
 
+#include "cuminpitch/core/clock.hpp"
+#include "cuminpitch/telemetry/log.hpp"
 #include "net/frame_codec_priv.hpp"
 #include "net/unique_fd_priv.hpp"
 
@@ -20,7 +22,9 @@
 #include <cerrno>
 #include <cstring>
 #include <deque>
+#include <optional>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace cuminpitch::net {
@@ -80,6 +84,9 @@
     std::deque<std::string> queue;
     std::size_t queued_bytes = 0;
     std::size_t front_sent_bytes = 0;
+    /// When the connection was lost or refused, until it is made again.
+    std::optional<absl::Time> lost_at;
+    std::size_t dropped_frames = 0; ///< Since then.
 };
 
 /// A connection that a peer opened to send frames to this process.
@@ -131,6 +138,7 @@
     void run();
     void send_pending(absl::Time now);
     void connect(const core::endpoint& to, outbound& it, absl::Time now);
+    static void log_connected(const core::endpoint& to, outbound& it);
     void close(const core::endpoint& to, outbound& it);
     void flush(const core::endpoint& to, outbound& it);
     void discard_queue(const core::endpoint& to, outbound& it);
@@ -167,6 +175,7 @@
                     close(to, out);
                 } else {
                     out.connected = true;
+                    log_connected(to, out);
                     flush(to, out);
                 }
             }
@@ -227,8 +236,29 @@
     watch(it.fd.get(), EPOLLOUT | EPOLLRDHUP | EPOLLET, EPOLL_CTL_ADD);
 }
 
+void tcp_transport::impl::log_connected(const core::endpoint& to, outbound& it)
+{
+    const auto lost_at = std::exchange(it.lost_at, std::nullopt);
+    const auto dropped = std::exchange(it.dropped_frames, 0);
+    if (lost_at) {
+        telemetry::log(
+            telemetry::severity::info,
+            "connection restored",
+            {{"peer", to.str()},
+             {"away_ms", absl::ToInt64Milliseconds(core::monotonic_now() - *lost_at)},
+             {"dropped_frames", static_cast<std::int64_t>(dropped)}});
+    }
+}
+
 void tcp_transport::impl::close(const core::endpoint& to, outbound& it)
 {
+    if (!it.lost_at) {
+        it.lost_at = core::monotonic_now();
+        telemetry::log(
+            telemetry::severity::info,
+            "connection lost",
+            {{"peer", to.str()}, {"was_connected", it.connected}});
+    }
     if (it.fd) {
         outbound_by_fd.erase(it.fd.get());
     }
@@ -239,6 +269,7 @@
 
 void tcp_transport::impl::discard_queue(const core::endpoint& to, outbound& it)
 {
+    it.dropped_frames += it.queue.size();
     it.queue.clear();
     it.front_sent_bytes = 0;
     const absl::MutexLock lock(&mutex);
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -1,5 +1,7 @@
 #include "cuminpitch/telemetry/log.hpp"
 
+#include "cuminpitch/core/clock.hpp"
+
 #include <absl/time/clock.h>
 #include <absl/time/time.h>
 #include <easylogging++.h>
@@ -93,6 +95,7 @@
     nlohmann::ordered_json line = {
         {"time",
          absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", absl::Now(), absl::UTCTimeZone())},
+        {"boot_ms", absl::ToUnixMillis(core::monotonic_now())},
         {"level", level_name(level)},
         {"process", process_name()},
         {"event", event}};
--- a/tests/consensus/start_test.cpp
+++ b/tests/consensus/start_test.cpp
@@ -57,5 +57,28 @@
 
 INSTANTIATE_TEST_SUITE_P(seeds, start_test, testing::Range<std::uint64_t>(1, 21));
 
+// Guards against followers that depose their first leader after a start because its next
+// heartbeat comes a little late.
+TEST(first_leader, is_kept_between_two_heartbeats)
+{
+    constexpr std::uint64_t seeds = 20;
+    const auto options = slow_elections();
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        simulation sim(seed, 5, options);
+        ASSERT_TRUE(sim.commits(settle_limit));
+        for (std::size_t i = 0; i < sim.size(); ++i) {
+            sim.crash(sim.at(i));
+            sim.start(sim.at(i));
+        }
+        ASSERT_TRUE(sim.run_until([&] { return sim.leader() != nullptr; }, settle_limit));
+        auto& it = *sim.at((sim.leader()->number + 1) % sim.size()).replica;
+        ASSERT_TRUE(sim.run_until([&] { return !it.leader().empty(); }, settle_limit));
+        const auto leader = it.leader();
+        const auto heard = it.last_contact(leader).value();
+        it.tick(heard + options.election_timeout_min - absl::Milliseconds(1));
+        EXPECT_EQ(it.leader(), leader) << "seed " << seed;
+    }
+}
+
 } // namespace
 } // namespace cuminpitch::consensus
--- a/tests/net/tcp_transport_test.cpp
+++ b/tests/net/tcp_transport_test.cpp
@@ -2,6 +2,7 @@
 
 #include "net/frame_codec_priv.hpp"
 #include "support/open_sockets.hpp"
+#include "support/time_of_day.hpp"
 
 #include <absl/synchronization/mutex.h>
 #include <absl/time/clock.h>
@@ -11,6 +12,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <chrono>
+#include <thread>
 #include <vector>
 
 namespace cuminpitch::net {
@@ -131,6 +134,26 @@
     EXPECT_EQ(b.payload(1), "after");
 }
 
+// Guards against frames that are dropped until a time of day that was set back has passed.
+TEST(tcp_transport, reconnects_after_the_time_of_day_was_set_back)
+{
+    constexpr std::chrono::seconds limit{5};
+    constexpr std::chrono::milliseconds interval{20};
+    node a("a", 21411);
+    node b("b", 21412);
+    b.stop();
+    a.send(b, "refused");
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    testing::move_time_of_day(-absl::Minutes(1));
+    b.start();
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (b.received() == 0 && std::chrono::steady_clock::now() < end) {
+        a.send(b, "after");
+        std::this_thread::sleep_for(interval);
+    }
+    EXPECT_GT(b.received(), 0U);
+}
+
 // Guards against a simulated one-way partition that also drops frames in the other
 // direction.
 TEST(tcp_transport, blocking_one_direction_keeps_the_other)
