--- a/tests/net/tcp_transport_test.cpp
+++ b/tests/net/tcp_transport_test.cpp
@@ -134,7 +134,8 @@
     EXPECT_EQ(b.payload(1), "after");
 }
 
-// Guards against frames that are dropped until a time of day that was set back has passed.
+// Guards against frames that are dropped until a time of day that was set back has
+// passed.
 TEST(tcp_transport, reconnects_after_the_time_of_day_was_set_back)
 {
     constexpr std::chrono::seconds limit{5};
