Measure the reconnect interval of the transport with the steady clock

Cause: the time of the next attempt to connect to a peer was a time of day. Each process that restarts with others has peers that refuse its first connection.

Change: the interval is measured by the time since boot.

--- a/src/net/tcp_transport.cpp
+++ b/src/net/tcp_transport.cpp
@@ -9,7 +9,6 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 #include <absl/synchronization/mutex.h>
-#include <absl/time/clock.h>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -180,7 +179,7 @@
                 }
             }
         }
-        send_pending(absl::Now());
+        send_pending(core::monotonic_now());
     }
 }
 
