Wait for a second heartbeat of the first leader after a start

Cause: an instance that hears its first leader after a start still uses the timeout of a start (0.1 to 0.25 s), while heartbeats come each 0.1 s.

Change: that one timeout is a heartbeat interval longer.

--- a/src/consensus/replica_following.cpp
+++ b/src/consensus/replica_following.cpp
@@ -25,6 +25,11 @@
         write_state();
     }
     become_follower(term, received.from);
+    if (leader_contact_ == absl::InfinitePast()) {
+        // The timeout is still that of the start, which may be as short as a heartbeat
+        // interval.
+        election_deadline_ += options_.heartbeat;
+    }
     leader_contact_ = now_;
     return true;
 }
--- a/tests/consensus/start_test.cpp
+++ b/tests/consensus/start_test.cpp
@@ -75,7 +75,7 @@
         ASSERT_TRUE(sim.run_until([&] { return !it.leader().empty(); }, settle_limit));
         const auto leader = it.leader();
         const auto heard = it.last_contact(leader).value();
-        it.tick(heard + options.election_timeout_min - absl::Milliseconds(1));
+        it.tick(heard + 2 * options.heartbeat - absl::Milliseconds(1));
         EXPECT_EQ(it.leader(), leader) << "seed " << seed;
     }
 }
