Count and log why servers aren't chosen

Each choice of a server counts the others by reason: closed, full, no permit, suspected, penalized or busier, as cuminpitch_servers_not_chosen_total. Once a second, an entry logs `servers not available` for a pool of which more servers were closed, full, without permit or suspected than the declared minimum of healthy capacity allows.

--- a/include/cuminpitch/request/dispatcher.hpp
+++ b/include/cuminpitch/request/dispatcher.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cuminpitch/core/random.hpp"
+#include "cuminpitch/request/choice_counts.hpp"
 #include "cuminpitch/request/dialect.hpp"
 #include "cuminpitch/request/events.hpp"
 #include "cuminpitch/request/route_table.hpp"
@@ -75,6 +76,8 @@
     /// Number of requests without `respond` or `refuse` yet.
     std::size_t in_flight() const;
     pool_load load(const core::pool_id& pool) const;
+    /// Returns why servers of the pool weren't chosen since the last call.
+    choice_counts take_choice_counts(const core::pool_id& pool);
     /// Whether the pool has a server that a request could be sent to, now or once a slot
     /// is free.
     bool has_servers(const core::pool_id& pool) const;
--- a/src/entry/node_impl_priv.hpp
+++ b/src/entry/node_impl_priv.hpp
@@ -220,6 +220,7 @@
     /// Counts failures of servers that were sent to other entries or received from them.
     void count_reports(const control::pool_evidence& evidence, const char* direction);
     void relay_failures();
+    void log_choices();
     void send_occupancy();
     std::vector<core::endpoint> domain_peers() const;
     std::vector<core::endpoint> active_domain_peers() const;
@@ -267,6 +268,7 @@
         sent_occupancy_;
     absl::Time next_penalty_update_ = absl::InfinitePast();
     absl::Time next_presence_ = absl::InfinitePast();
+    absl::Time next_choice_log_ = absl::InfinitePast();
     std::shared_ptr<const request::route_table> routes_;
 
     std::uint64_t last_call_id_ = 0;
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -8,6 +8,7 @@
 /// Time between two updates of decaying penalties. The suspicion of a server has a
 /// half-life of 5 s, so it changes little in between.
 constexpr absl::Duration penalty_interval = absl::Milliseconds(100);
+constexpr absl::Duration choice_log_interval = absl::Seconds(1);
 /// An entry that received at least this many requests within `activity_interval` receives
 /// the occupancy reports of others. With fewer requests it hardly adds to the load.
 constexpr std::uint64_t min_active_requests = 15;
@@ -272,6 +273,7 @@
     send_evidence();
     relay_failures();
     send_occupancy();
+    log_choices();
     if (now_ >= next_activity_) {
         next_activity_ = now_ + activity_interval;
         if (std::exchange(recent_requests_, 0) >= min_active_requests) {
@@ -289,6 +291,51 @@
     }
 }
 
+/// Logs why servers were idle, at most once a second for each pool, and only if more than
+/// the declared minimum of healthy capacity allows weren't available to the choices.
+void node::impl::log_choices()
+{
+    if (now_ < next_choice_log_) {
+        return;
+    }
+    next_choice_log_ = now_ + choice_log_interval;
+    for (const auto& [id, pool] : shared_pools_) {
+        const auto n = dispatcher_.take_choice_counts(id);
+        const auto add = [&](const char* reason, std::uint64_t count) {
+            metrics_.add(
+                "cuminpitch_servers_not_chosen_total",
+                {{"pool", id.str()}, {"reason", reason}},
+                count);
+        };
+        add("closed", n.closed);
+        add("full", n.full);
+        add("no-permit", n.no_permit);
+        add("suspected", n.suspected);
+        add("penalized", n.penalized);
+        add("busier", n.busier);
+        const auto unavailable = n.closed + n.full + n.no_permit + n.suspected;
+        const auto allowed = 100 - pool.settings().min_healthy_percent;
+        if (100 * unavailable <= allowed * n.servers) {
+            continue;
+        }
+        const auto per_choice = [&](std::uint64_t count) {
+            return static_cast<double>(count) / static_cast<double>(n.choices);
+        };
+        log(telemetry::severity::info,
+            "servers not available",
+            {{"pool", id.str()},
+             {"choices", static_cast<std::int64_t>(n.choices)},
+             {"without_server", static_cast<std::int64_t>(n.without_server)},
+             {"servers", per_choice(n.servers)},
+             {"closed", per_choice(n.closed)},
+             {"full", per_choice(n.full)},
+             {"no_permit", per_choice(n.no_permit)},
+             {"suspected", per_choice(n.suspected)},
+             {"penalized", per_choice(n.penalized)},
+             {"busier", per_choice(n.busier)}});
+    }
+}
+
 void node::impl::relay_failures()
 {
     const auto due = relay_.take_due(now_);
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -124,6 +124,12 @@
     return {found->second->queue().size(), found->second->in_flight()};
 }
 
+choice_counts dispatcher::impl::take_choice_counts(const core::pool_id& id)
+{
+    const auto found = pools_.find(id);
+    return found == pools_.end() ? choice_counts() : found->second->take_choice_counts();
+}
+
 std::vector<std::pair<core::server_id, std::uint32_t>>
 dispatcher::impl::in_flight_by_server(const core::pool_id& id) const
 {
@@ -574,4 +580,9 @@
     return impl_->load(pool);
 }
 
+choice_counts dispatcher::take_choice_counts(const core::pool_id& pool)
+{
+    return impl_->take_choice_counts(pool);
+}
+
 } // namespace cuminpitch::request
--- a/src/request/dispatcher_impl_priv.hpp
+++ b/src/request/dispatcher_impl_priv.hpp
@@ -40,6 +40,7 @@
     std::vector<action> handle(absl::Time now, event it);
     std::size_t in_flight() const { return live_.size(); }
     pool_load load(const core::pool_id& id) const;
+    choice_counts take_choice_counts(const core::pool_id& id);
     bool has_servers(const core::pool_id& id) const;
     std::vector<std::pair<core::server_id, std::uint32_t>>
     in_flight_by_server(const core::pool_id& id) const;
--- a/src/request/pool_state.cpp
+++ b/src/request/pool_state.cpp
@@ -92,20 +92,70 @@
     return !it.view.probation || request.route->idempotent || !has_idempotent_route_;
 }
 
-pool_state::choice pool_state::pick(
-    absl::Time now, const live_request& it, core::random_source& random) const
-{
-    const double weight =
-        it.route->idempotent ? idempotent_suspicion_weight : suspicion_weight;
-    const double domain_penalty = other_domain_penalty(it.message->body.size());
-    const auto load = [this, now, weight, domain_penalty](const server_slots& server) {
-        return (server.in_flight +
-                last_update_.remote_in_flight_weight * server.view.remote_in_flight) /
-                   server.view.slots +
-               server.view.penalty + weight * server.view.suspicion +
-               (server.view.in_other_domain ? domain_penalty : 0) +
-               (server.view.is_preferred ? 0 : not_preferred_penalty) -
-               (server.view.limit && allows_request(now, server.view) ? permit_bonus : 0);
+double pool_state::plain_load(const server_slots& it) const
+{
+    return (it.in_flight +
+            last_update_.remote_in_flight_weight * it.view.remote_in_flight) /
+           it.view.slots;
+}
+
+double
+pool_state::suspicion_penalty(const server_slots& it, const live_request& request) const
+{
+    return (request.route->idempotent ? idempotent_suspicion_weight : suspicion_weight) *
+           it.view.suspicion;
+}
+
+double pool_state::load(
+    absl::Time now, const server_slots& it, const live_request& request) const
+{
+    return plain_load(it) + it.view.penalty + suspicion_penalty(it, request) +
+           (it.view.in_other_domain ? other_domain_penalty(request.message->body.size())
+                                    : 0) +
+           (it.view.is_preferred ? 0 : not_preferred_penalty) -
+           (it.view.limit && allows_request(now, it.view) ? permit_bonus : 0);
+}
+
+void pool_state::count_choice(
+    absl::Time now, const live_request& request, const server_slots* chosen)
+{
+    auto& n = choice_counts_;
+    ++n.choices;
+    n.without_server += chosen == nullptr ? 1 : 0;
+    const double best = chosen == nullptr ? 0 : load(now, *chosen, request);
+    for (const auto& it : servers_) {
+        if (!it.is_listed) {
+            continue;
+        }
+        ++n.servers;
+        if (&it == chosen) {
+            continue;
+        }
+        if (!is_eligible(now, it, request)) {
+            ++n.closed;
+        } else if (it.in_flight >= (it.view.probation ? 1 : it.view.slots)) {
+            ++n.full;
+        } else if (!allows_request(now, it.view)) {
+            ++n.no_permit;
+        } else if (it.view.suspected && chosen != nullptr && !chosen->view.suspected) {
+            ++n.suspected;
+        } else if (const double own = load(now, it, request); own <= best) {
+            ++n.busier;
+        } else if (own - suspicion_penalty(it, request) < best) {
+            ++n.suspected;
+        } else if (plain_load(it) < best) {
+            ++n.penalized;
+        } else {
+            ++n.busier;
+        }
+    }
+}
+
+pool_state::choice
+pool_state::pick(absl::Time now, const live_request& it, core::random_source& random)
+{
+    const auto load = [&](const server_slots& server) {
+        return this->load(now, server, it);
     };
     const auto is_better = [&](const server_slots& server, const server_slots& than) {
         return than.view.suspected != server.view.suspected ? than.view.suspected
@@ -156,6 +206,7 @@
             out.withheld.push_back(&withheld->view);
         }
     }
+    count_choice(now, it, best.server);
     return out;
 }
 
--- a/src/request/pool_state_priv.hpp
+++ b/src/request/pool_state_priv.hpp
@@ -3,6 +3,7 @@
 #include "admission/load_shedder_priv.hpp"
 #include "admission/ranked_queue_priv.hpp"
 #include "cuminpitch/core/random.hpp"
+#include "cuminpitch/request/choice_counts.hpp"
 #include "cuminpitch/request/events.hpp"
 #include "live_request_priv.hpp"
 #include "retry_budget_priv.hpp"
@@ -44,8 +45,9 @@
     /// Chooses a free server for the request: one that isn't suspected before one that
     /// is, then the one with the lowest load including penalties. Ties are broken at
     /// random.
-    choice
-    pick(absl::Time now, const live_request& it, core::random_source& random) const;
+    choice pick(absl::Time now, const live_request& it, core::random_source& random);
+    /// Returns and resets the counts of all choices since the last call.
+    choice_counts take_choice_counts() { return std::exchange(choice_counts_, {}); }
     /// Whether there is a server, free or busy, that the request wasn't sent to yet.
     bool has_untried(absl::Time now, const live_request& it) const;
     /// The same, not counting servers whose rate limit allows no request now, and
@@ -177,6 +179,13 @@
 
     bool is_eligible(
         absl::Time now, const server_slots& it, const live_request& request) const;
+    /// Load of the server as a fraction of its slots, without and with penalties.
+    double plain_load(const server_slots& it) const;
+    double suspicion_penalty(const server_slots& it, const live_request& request) const;
+    double
+    load(absl::Time now, const server_slots& it, const live_request& request) const;
+    void
+    count_choice(absl::Time now, const live_request& request, const server_slots* chosen);
     void record_dequeue(const admission::taken_request& it, absl::Time now);
     bool is_empty(const caller_key& it) const
     {
@@ -192,6 +201,7 @@
     absl::Duration time_to_send(absl::Time now, double requests) const;
 
     pool_update last_update_;
+    choice_counts choice_counts_;
     std::vector<server_slots> servers_;
     bool has_idempotent_route_ = false;
     std::size_t in_flight_ = 0;
