Add a failing test for the capacity that suspicion leaves

One failure keeps a server from all entries until its record has decayed.

The test fails: 15 of 20 servers are suspected after one failure each, though the pool declares that 70% of its capacity must stay healthy.

--- a/tests/entry/shared_pool_test.cpp
+++ b/tests/entry/shared_pool_test.cpp
@@ -1,5 +1,6 @@
 #include "entry/shared_pool_priv.hpp"
 
+#include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 
 namespace cuminpitch::entry {
@@ -69,6 +70,32 @@
     EXPECT_FALSE(pool.set_view(now, view)) << "nothing has changed";
 }
 
+// Guards against servers that idle because of failures in the past while the few without
+// a failure reject requests.
+TEST_F(shared_pool_test, suspicion_leaves_the_declared_minimum_of_capacity)
+{
+    constexpr int count = 20;
+    constexpr int failed = 15;
+    constexpr std::size_t max_suspected = 6; // 30% of 20, as 70% must stay healthy.
+    std::vector<control::server_record> all;
+    for (int n = 0; n < count; ++n) {
+        all.push_back(make_server(absl::StrCat("s", 100 + n), "a"));
+    }
+    list_servers(all);
+    for (int n = 0; n < failed; ++n) {
+        pool.observe(now, make_failure(absl::StrCat("s", 100 + n)));
+        now += absl::Milliseconds(100);
+    }
+    const auto listed = servers();
+    std::size_t suspected = 0;
+    for (const auto& it : listed) {
+        suspected += it.suspicion > 0 ? 1 : 0;
+    }
+    EXPECT_LE(suspected, max_suspected);
+    EXPECT_GT(listed[failed - 1].suspicion, 0) << "the server that failed last";
+    EXPECT_EQ(listed[0].suspicion, 0) << "the server that failed first";
+}
+
 // Guards against attempts that go to an address that another server has taken over.
 TEST_F(shared_pool_test, misdirected_server_is_removed_until_it_restarts)
 {
