Reject responses whose status is above 599

Statuses outside of 100 to 599 are invalid (RFC 9110, section 15). The caller gets 502, or the answer of another server if the request may be repeated.

--- a/src/http/response_head.cpp
+++ b/src/http/response_head.cpp
@@ -31,7 +31,7 @@
 }
 
 /// The status of a line "HTTP/1.1 200", with or without a blank and a reason behind it,
-/// or 0 if the line doesn't begin so.
+/// or 0 if the line doesn't begin so or the status is none.
 int read_status(std::string_view line)
 {
     constexpr std::string_view pattern = "HTTP/1.d ddd";
@@ -51,7 +51,9 @@
     for (const char digit : line.substr(status_at, 3)) {
         out = 10 * out + (digit - '0');
     }
-    return out >= 100 ? out : 0;
+    constexpr int min_status = 100;
+    constexpr int max_status = 599; // RFC 9110, section 15.
+    return out >= min_status && out <= max_status ? out : 0;
 }
 
 } // namespace
--- a/tests/http/raw_socket.hpp
+++ b/tests/http/raw_socket.hpp
@@ -137,6 +137,8 @@
     raw_server(const raw_server&) = delete;
 
     core::endpoint at() const { return {"127.0.0.1", port_}; }
+    /// Answers requests of which so many bytes have arrived, without reading the rest.
+    void answer_after(std::size_t bytes) { early_bytes_ = bytes; }
     unsigned executions() const { return executions_; }
     unsigned connections() const { return connections_; }
     /// Bytes of endless responses that were sent.
@@ -209,7 +211,7 @@
                 break;
             }
             request.append(buf, static_cast<std::size_t>(n));
-            if (!is_whole(request)) {
+            if (!is_whole(request) && request.size() < early_bytes_) {
                 continue;
             }
             const reply out = script_(++executions_, request);
@@ -238,6 +240,7 @@
     const int listener_;
     std::uint16_t port_ = 0;
     std::atomic<bool> stopping_{false};
+    std::atomic<std::size_t> early_bytes_{std::string::npos};
     std::atomic<unsigned> executions_{0};
     std::atomic<unsigned> connections_{0};
     std::atomic<std::size_t> endless_bytes_{0};
