Let probing requests use more servers while others reject requests

Cause: a failure of a server raises its suspicion at all entries, its recovery lowers it only at the entry that had a success there. A suspicion outweighs any load that an entry can see, so requests go to the servers without a record, which fill up and reject, and a rejection is hardly a reason to avoid them.

Change: an entry knows the share of its recent attempts that servers rejected for lack of room. From 10% on (less below, in proportion), requests that probe ignore suspicions, those of the servers that failed longest ago first, until servers with the declared min_healthy_percent have none. Requests that probe are idempotent ones, or all of a pool without an idempotent route: they find out whether the servers have recovered, and their failure can be repeated. Others keep avoiding failures.

Result: shared_pool_test.suspicion_leaves_the_declared_minimum_* failed before (15 of 20 servers suspected) and passes.

--- a/include/cuminpitch/health/suspicion.hpp
+++ b/include/cuminpitch/health/suspicion.hpp
@@ -44,6 +44,9 @@
     /// 0 for a server without recent failures; 1 right after a first failure.
     double level(absl::Time now, const core::server_id& server) const;
 
+    /// When the level of the server was last raised; infinite past if it has none.
+    absl::Time last_raised(const core::server_id& server) const;
+
     /// Whether the level of any server is above 0.
     bool any_suspected(absl::Time now) const;
 
--- a/src/entry/shared_pool.cpp
+++ b/src/entry/shared_pool.cpp
@@ -1,6 +1,7 @@
 #include "entry/shared_pool_priv.hpp"
 
 #include "entry/preferred_servers_priv.hpp"
+#include "entry/suspicion_bound_priv.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -25,6 +26,9 @@
 constexpr absl::Duration slot_turnover_time = absl::Milliseconds(800);
 /// A connection that was made this short a time ago shows that the path still works.
 constexpr absl::Duration recent_contact_time = absl::Milliseconds(100);
+/// Share of attempts that servers reject from which on suspicions leave all of the
+/// declared minimum of healthy capacity. Below it, avoiding servers costs no room.
+constexpr double rejected_share_of_full_bound = 0.1;
 /// An unconfirmed failure is discarded after this time.
 constexpr absl::Duration confirmation_timeout = absl::Seconds(2);
 
@@ -125,6 +129,7 @@
             }
         }
     }
+    std::vector<absl::Time> last_failures;
     for (const auto& [id, it] : servers_) {
         if (it.is_replaced) {
             continue;
@@ -137,13 +142,18 @@
         view.is_preferred = view.in_other_domain || preferred_.contains(id);
         view.penalty = is_cold(now, it) ? cold_start_penalty : 0;
         view.suspicion = suspicion_.level(now, id);
+        view.probing_suspicion = view.suspicion;
         view.incarnation = it.record.announcement.incarnation;
         if (const auto found = remote_in_flight.find(id);
             found != remote_in_flight.end()) {
             view.remote_in_flight = found->second;
         }
         out.servers.push_back(std::move(view));
+        last_failures.push_back(suspicion_.last_raised(id));
     }
+    const double part =
+        std::min(1.0, rejections_.share(now) / rejected_share_of_full_bound);
+    bound_suspicion(out.servers, last_failures, settings_, part);
     return out;
 }
 
@@ -159,14 +169,17 @@
     }
     switch (observed.what) {
     case kind::success:
+        rejections_.count(now, false);
         suspicion_.count_success(observed.server);
         break;
     case kind::overdue:
     case kind::failure:
+        rejections_.count(now, false);
         suspicion_.count_failure(now, observed.server);
         count_failure(now, observed);
         break;
     case kind::shed:
+        rejections_.count(now, true);
         suspicion_.count_shed(now, observed.server);
         break;
     case kind::none:
--- a/src/entry/shared_pool_priv.hpp
+++ b/src/entry/shared_pool_priv.hpp
@@ -4,6 +4,7 @@
 #include "cuminpitch/control/sync.hpp"
 #include "cuminpitch/health/suspicion.hpp"
 #include "cuminpitch/request/events.hpp"
+#include "entry/rejected_share_priv.hpp"
 
 #include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
@@ -100,6 +101,7 @@
     absl::btree_map<core::server_id, server> servers_;
     absl::btree_set<core::server_id> preferred_;
     health::suspicion suspicion_;
+    rejected_share rejections_;
     absl::btree_map<core::server_id, std::uint32_t> unsent_failures_;
     /// Failures that a fault of this entry's network path would also cause. They are sent
     /// to other entries once there has been a contact with another server.
--- a/src/health/suspicion.cpp
+++ b/src/health/suspicion.cpp
@@ -52,6 +52,12 @@
     return result < negligible ? 0 : result;
 }
 
+absl::Time suspicion::last_raised(const core::server_id& server) const
+{
+    const auto it = records_.find(server);
+    return it == records_.end() ? absl::InfinitePast() : it->second.updated;
+}
+
 bool suspicion::any_suspected(absl::Time now) const
 {
     return std::any_of(records_.begin(), records_.end(), [&](const auto& it) {
--- a/src/request/pool_state.cpp
+++ b/src/request/pool_state.cpp
@@ -102,8 +102,9 @@
 double
 pool_state::suspicion_penalty(const server_slots& it, const live_request& request) const
 {
+    const bool probes = request.route->idempotent || !has_idempotent_route_;
     return (request.route->idempotent ? idempotent_suspicion_weight : suspicion_weight) *
-           it.view.suspicion;
+           (probes ? it.view.probing_suspicion : it.view.suspicion);
 }
 
 double pool_state::load(
