Measure the rest of a connection and the log rate with the steady clock

Left are the `time` of a log line, the time stamp of an operator's change, and the incarnation of an entry, which all state a time of day.

--- a/src/http/attempt.cpp
+++ b/src/http/attempt.cpp
@@ -1,10 +1,11 @@
 #include "attempt_priv.hpp"
 
+#include "cuminpitch/core/clock.hpp"
+
 #include <absl/strings/ascii.h>
 #include <absl/strings/escaping.h>
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
-#include <absl/time/clock.h>
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -197,7 +198,7 @@
     if (is_new_connection_) {
         return true;
     }
-    use_.rested = absl::Now() - it->last_response;
+    use_.rested = core::monotonic_now() - it->last_response;
     char buf[max_waiting_bytes];
     const auto n = ::recv(it->socket, buf, sizeof buf, MSG_PEEK | MSG_DONTWAIT);
     discarded_bytes_ = n > 0 ? static_cast<std::uint32_t>(n) : 0;
@@ -386,7 +387,7 @@
     }
     out.connection.waiting_bytes = discarded_bytes_;
     if (auto* it = connections_.find(request_.to, local_port_)) {
-        it->last_response = absl::Now();
+        it->last_response = core::monotonic_now();
     }
     out.elapsed = absl::FromChrono(std::chrono::steady_clock::now() - begin_);
     if (why == failure::none) {
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -105,7 +105,7 @@
     std::string text =
         line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     if (queue()) {
-        queue()->push(absl::Now(), std::move(text));
+        queue()->push(core::monotonic_now(), std::move(text));
         return;
     }
     // The macros of easylogging++ drop debug lines if NDEBUG is defined; its Writer does
