--- a/src/entry/node_impl_priv.hpp
+++ b/src/entry/node_impl_priv.hpp
@@ -221,6 +221,7 @@
     void count_reports(const control::pool_evidence& evidence, const char* direction);
     void relay_failures();
     void log_choices();
+    void count_choices(const core::pool_id& pool, const request::choice_counts& it);
     void send_occupancy();
     std::vector<core::endpoint> domain_peers() const;
     std::vector<core::endpoint> active_domain_peers() const;
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -301,24 +301,13 @@
     next_choice_log_ = now_ + choice_log_interval;
     for (const auto& [id, pool] : shared_pools_) {
         const auto n = dispatcher_.take_choice_counts(id);
-        const auto add = [&](const char* reason, std::uint64_t count) {
-            metrics_.add(
-                "cuminpitch_servers_not_chosen_total",
-                {{"pool", id.str()}, {"reason", reason}},
-                count);
-        };
-        add("closed", n.closed);
-        add("full", n.full);
-        add("no-permit", n.no_permit);
-        add("suspected", n.suspected);
-        add("penalized", n.penalized);
-        add("busier", n.busier);
+        count_choices(id, n);
         const auto unavailable = n.closed + n.full + n.no_permit + n.suspected;
         const auto allowed = 100 - pool.settings().min_healthy_percent;
         if (100 * unavailable <= allowed * n.servers) {
             continue;
         }
-        const auto per_choice = [&](std::uint64_t count) {
+        const auto per_choice = [&n](std::uint64_t count) {
             return static_cast<double>(count) / static_cast<double>(n.choices);
         };
         log(telemetry::severity::info,
@@ -336,6 +325,23 @@
     }
 }
 
+void node::impl::count_choices(
+    const core::pool_id& pool, const request::choice_counts& it)
+{
+    const auto add = [&](const char* reason, std::uint64_t count) {
+        metrics_.add(
+            "cuminpitch_servers_not_chosen_total",
+            {{"pool", pool.str()}, {"reason", reason}},
+            count);
+    };
+    add("closed", it.closed);
+    add("full", it.full);
+    add("no-permit", it.no_permit);
+    add("suspected", it.suspected);
+    add("penalized", it.penalized);
+    add("busier", it.busier);
+}
+
 void node::impl::relay_failures()
 {
     const auto due = relay_.take_due(now_);
--- a/src/request/pool_state.cpp
+++ b/src/request/pool_state.cpp
@@ -132,19 +132,21 @@
         if (&it == chosen) {
             continue;
         }
+        const double own = load(now, it, request);
+        const bool is_only_suspected =
+            chosen != nullptr &&
+            (it.view.suspected != chosen->view.suspected
+                 ? it.view.suspected
+                 : own > best && own - suspicion_penalty(it, request) < best);
         if (!is_eligible(now, it, request)) {
             ++n.closed;
-        } else if (it.in_flight >= (it.view.probation ? 1 : it.view.slots)) {
+        } else if (it.in_flight >= it.max_in_flight()) {
             ++n.full;
         } else if (!allows_request(now, it.view)) {
             ++n.no_permit;
-        } else if (it.view.suspected && chosen != nullptr && !chosen->view.suspected) {
+        } else if (is_only_suspected) {
             ++n.suspected;
-        } else if (const double own = load(now, it, request); own <= best) {
-            ++n.busier;
-        } else if (own - suspicion_penalty(it, request) < best) {
-            ++n.suspected;
-        } else if (plain_load(it) < best) {
+        } else if (own > best && plain_load(it) < best) {
             ++n.penalized;
         } else {
             ++n.busier;
@@ -179,11 +181,10 @@
     candidate best_withheld;
     choice out;
     for (const auto& server : servers_) {
-        const std::uint32_t max_in_flight = server.view.probation ? 1 : server.view.slots;
         if (server.is_listed && now < server.view.closed_until) {
             out.closed = &server.view;
         }
-        if (!is_eligible(now, server, it) || server.in_flight >= max_in_flight) {
+        if (!is_eligible(now, server, it) || server.in_flight >= server.max_in_flight()) {
             continue;
         }
         if (allows_request(now, server.view)) {
@@ -290,7 +291,7 @@
 bool pool_state::has_free_slot() const
 {
     return std::any_of(servers_.begin(), servers_.end(), [](const auto& it) {
-        return it.is_listed && it.in_flight < (it.view.probation ? 1 : it.view.slots);
+        return it.is_listed && it.in_flight < it.max_in_flight();
     });
 }
 
@@ -298,7 +299,7 @@
 {
     std::size_t out = 0;
     for (const auto& it : servers_) {
-        out += it.is_listed ? (it.view.probation ? 1 : it.view.slots) : 0;
+        out += it.is_listed ? it.max_in_flight() : 0;
     }
     return out;
 }
@@ -480,7 +481,7 @@
         if (!it.is_open(now)) {
             continue;
         }
-        const double own_slots = it.view.probation ? 1 : it.view.slots;
+        const double own_slots = it.max_in_flight();
         if (!it.view.limit) {
             slots += own_slots;
             continue;
--- a/src/request/pool_state_priv.hpp
+++ b/src/request/pool_state_priv.hpp
@@ -156,6 +156,7 @@
         /// False if the server was removed from the pool but has requests in flight.
         bool is_listed = true;
 
+        std::uint32_t max_in_flight() const { return view.probation ? 1 : view.slots; }
         /// Whether it may get requests.
         bool is_open(absl::Time now) const
         {
