--- a/src/request/pool_state_priv.hpp
+++ b/src/request/pool_state_priv.hpp
@@ -178,6 +178,8 @@
     };
     using caller_key = std::pair<std::uint32_t, core::caller_id>;
 
+    /// Whether the rate limit of the server allows this entry a request.
+    static bool allows_request(absl::Time now, const server_view& it);
     bool is_eligible(
         absl::Time now, const server_slots& it, const live_request& request) const;
     /// Load of the server as a fraction of its slots, without and with penalties.
