Let views of servers without a probing suspicion use the other one

A view that sets only `suspicion`, as a test of idempotent requests does, compared without it for these requests. The value for probing requests is optional now. The test of the transport sets the time of day back at its end. No change of behaviour of an entry.

--- a/include/cuminpitch/request/events.hpp
+++ b/include/cuminpitch/request/events.hpp
@@ -63,10 +63,9 @@
     /// lower for an idempotent request, which may find out whether the server has
     /// recovered.
     double suspicion = 0;
-    /// In place of `suspicion` for requests that find out whether the server has
-    /// recovered: idempotent ones, or all if the pool has no idempotent route. Not above
-    /// `suspicion`.
-    double probing_suspicion = 0;
+    /// If set, replaces `suspicion` for requests that find out whether the server has
+    /// recovered: idempotent ones, or all if the pool has no idempotent route.
+    std::optional<double> probing_suspicion;
     /// Start time of the server. Another one at the same id is another server.
     std::uint64_t incarnation = 0;
     std::optional<server_limit> limit;
--- a/src/entry/shared_pool.cpp
+++ b/src/entry/shared_pool.cpp
@@ -142,7 +142,6 @@
         view.is_preferred = view.in_other_domain || preferred_.contains(id);
         view.penalty = is_cold(now, it) ? cold_start_penalty : 0;
         view.suspicion = suspicion_.level(now, id);
-        view.probing_suspicion = view.suspicion;
         view.incarnation = it.record.announcement.incarnation;
         if (const auto found = remote_in_flight.find(id);
             found != remote_in_flight.end()) {
--- a/src/entry/suspicion_bound.cpp
+++ b/src/entry/suspicion_bound.cpp
@@ -19,7 +19,7 @@
     double unsuspected = 0;
     for (std::size_t i = 0; i < servers.size(); ++i) {
         total += capacity(servers[i]);
-        if (servers[i].probing_suspicion > 0) {
+        if (servers[i].suspicion > 0) {
             suspected.push_back(i);
         } else {
             unsuspected += capacity(servers[i]);
--- a/src/entry/suspicion_bound_priv.hpp
+++ b/src/entry/suspicion_bound_priv.hpp
@@ -9,10 +9,10 @@
 
 namespace cuminpitch::entry {
 
-/// Removes suspicions, those of the servers that failed longest ago first, until servers
-/// with `part` of the declared minimum of healthy capacity have none. The server that
-/// failed last keeps its suspicion. `last_failures` has the time of the last failure of
-/// each server, in the same order.
+/// Sets the suspicion for probing requests to 0, for the servers that failed longest ago
+/// first, until servers with `part` of the declared minimum of healthy capacity have
+/// none. The server that failed last keeps its suspicion. `last_failures` has the time of
+/// the last failure of each server, in the same order.
 void bound_suspicion(
     std::vector<request::server_view>& servers,
     const std::vector<absl::Time>& last_failures,
--- a/src/request/pool_choice.cpp
+++ b/src/request/pool_choice.cpp
@@ -62,7 +62,8 @@
 {
     const bool probes = request.route->idempotent || !has_idempotent_route_;
     return (request.route->idempotent ? idempotent_suspicion_weight : suspicion_weight) *
-           (probes ? it.view.probing_suspicion : it.view.suspicion);
+           (probes ? it.view.probing_suspicion.value_or(it.view.suspicion)
+                   : it.view.suspicion);
 }
 
 double pool_state::load(
--- a/tests/entry/shared_pool_test.cpp
+++ b/tests/entry/shared_pool_test.cpp
@@ -88,11 +88,14 @@
         pool.observe(now, make_failure(absl::StrCat("s", 100 + n)));
         now += absl::Milliseconds(100);
     }
+    const auto for_probes = [](const request::server_view& it) {
+        return it.probing_suspicion.value_or(it.suspicion);
+    };
     const auto count_suspected = [&] {
         const auto listed = servers();
         return static_cast<std::size_t>(
-            std::count_if(listed.begin(), listed.end(), [](const auto& it) {
-                return it.probing_suspicion >= 0.5;
+            std::count_if(listed.begin(), listed.end(), [&](const auto& it) {
+                return for_probes(it) >= 0.5;
             }));
     };
     EXPECT_EQ(count_suspected(), failed) << "no server rejects requests";
@@ -102,9 +105,8 @@
         pool.observe(now, rejected);
     }
     EXPECT_LE(count_suspected(), max_suspected);
-    EXPECT_GT(servers()[failed - 1].probing_suspicion, 0)
-        << "the server that failed last";
-    EXPECT_EQ(servers()[0].probing_suspicion, 0) << "the server that failed first";
+    EXPECT_GT(for_probes(servers()[failed - 1]), 0) << "the server that failed last";
+    EXPECT_EQ(for_probes(servers()[0]), 0) << "the server that failed first";
 }
 
 // Guards against attempts that go to an address that another server has taken over.
--- a/tests/net/tcp_transport_test.cpp
+++ b/tests/net/tcp_transport_test.cpp
@@ -153,6 +153,7 @@
         std::this_thread::sleep_for(interval);
     }
     EXPECT_GT(b.received(), 0U);
+    testing::move_time_of_day(absl::ZeroDuration());
 }
 
 // Guards against a simulated one-way partition that also drops frames in the other
