Log how long an entry was behind control before a revision came into force

The logs couldn't tell why an entry obeys an older revision: because it found no control instance, because an update was lost, or because the update came late. `revision in force` now states how long a newer revision had been known and how long control had been silent, also when a peer's state is applied.

--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -147,6 +147,11 @@
         named_ = response.named;
     }
     const bool is_fresh = response.age <= options_.stale_state_limit;
+    const auto silent = now - std::max(last_response_, started_);
+    const auto before = replica_.revision();
+    if (before < response.current) {
+        behind_since_ = std::min(behind_since_, now);
+    }
     if (is_fresh) {
         if (std::exchange(is_control_lost_, false)) {
             out.push_back(action::write_log{
@@ -160,7 +165,6 @@
         last_response_ = now;
         unanswered_since_ = absl::InfiniteFuture();
     }
-    const auto before = replica_.revision();
     if (!is_fresh && before == core::revision() &&
         now - started_ < options_.start_window) {
         if (!is_empty(response.update)) {
@@ -180,13 +184,25 @@
         // Reports the new revision immediately, so that `apply --wait` does not have to
         // wait for the next interval.
         next_request_ = now;
-        out.push_back(action::write_log{
-            telemetry::severity::info,
-            "revision in force",
-            {{"revision", static_cast<std::int64_t>(replica_.revision().value())}}});
+        log_revision(now, silent, out);
+    }
+    if (replica_.revision() >= response.current) {
+        behind_since_ = absl::InfiniteFuture();
     }
 }
 
+void control_link::log_revision(
+    absl::Time now, absl::Duration silent, std::vector<node_action>& out)
+{
+    const auto behind = std::max(now - behind_since_, absl::ZeroDuration());
+    out.push_back(action::write_log{
+        telemetry::severity::info,
+        "revision in force",
+        {{"revision", static_cast<std::int64_t>(replica_.revision().value())},
+         {"behind_ms", absl::ToInt64Milliseconds(behind)},
+         {"silent_ms", absl::ToInt64Milliseconds(silent)}}});
+}
+
 /// Logs an update that can't be applied: an earlier one hasn't arrived, or its
 /// declarations don't compile.
 void control_link::apply(
@@ -239,13 +255,18 @@
 }
 
 void control_link::on(
-    absl::Time,
+    absl::Time now,
     const net::peer&,
     const control::state_response& response,
-    std::vector<node_action>&)
+    std::vector<node_action>& out)
 {
-    if (response.contents) {
-        replica_.apply(response.contents);
+    if (!response.contents) {
+        return;
+    }
+    const auto before = replica_.revision();
+    replica_.apply(response.contents);
+    if (replica_.revision() != before) {
+        log_revision(now, now - std::max(last_response_, started_), out);
     }
 }
 
--- a/src/entry/control_link_priv.hpp
+++ b/src/entry/control_link_priv.hpp
@@ -69,6 +69,10 @@
     void switch_target(absl::Time now, std::vector<node_action>& out);
     void ask_peers(std::vector<node_action>& out);
     void apply_stale_updates();
+    /// Logs that a newer revision than `before` is in force. `silent` is the time without
+    /// an answer of control before it.
+    void
+    log_revision(absl::Time now, absl::Duration silent, std::vector<node_action>& out);
     void apply(
         const control::update& it, const net::peer& from, std::vector<node_action>& out);
     void
@@ -116,6 +120,8 @@
     absl::Time next_contacts_ = absl::InfinitePast();
     absl::Time unanswered_since_ = absl::InfiniteFuture();
     absl::Time last_response_ = absl::InfinitePast();
+    /// Since when control has been known to have a newer revision than the one in force.
+    absl::Time behind_since_ = absl::InfiniteFuture();
     absl::btree_map<core::instance_id, absl::Time> last_contacts_;
 };
 
