--- a/tests/entry/simulated_fleet.cpp
+++ b/tests/entry/simulated_fleet.cpp
@@ -399,7 +399,11 @@
     } else {
         idle_connections_.erase({entry, request.to});
     }
-    const auto after = result.elapsed;
+    auto after = result.elapsed;
+    if (after > request.timeout) {
+        after = request.timeout;
+        result = failed(http::failure::timeout, core::verdict::may_have_run);
+    }
     schedule(entry, call.call, after, std::move(result));
 }
 
