Tell other entries when a suspected server works again

An entry told all others of each failure, which kept the server out of use for up to 15 s; a success counted only where it was seen.

Entries now report successes at suspected servers in the message that carries the failures, also by way of the relays. A response to an overdue request withdraws the report, or drops it if it wasn't sent yet.

--- a/include/cuminpitch/control/sync.hpp
+++ b/include/cuminpitch/control/sync.hpp
@@ -84,10 +84,11 @@
     friend bool operator==(const presence&, const presence&) = default;
 };
 
-/// Sent between entries: the failures of backend servers that the sender observed, or
-/// received for relaying, since its last message and, to entries of its failure domain,
-/// its requests in flight. A message without either tells the receiver that the sender
-/// carries requests and should be sent the receiver's requests in flight.
+/// Sent between entries: the failures of backend servers, and the successes of suspected
+/// ones, that the sender observed, or received for relaying, since its last message and,
+/// to entries of its failure domain, its requests in flight. A message without any of
+/// these tells the receiver that the sender carries requests and should be sent the
+/// receiver's requests in flight.
 struct pool_evidence
 {
     struct server_count
@@ -102,6 +103,9 @@
     std::vector<server_count> failures;
     /// Requests in flight at each server that has any; replaces the counts sent before.
     std::optional<std::vector<server_count>> in_flight;
+    /// Successes at servers that are suspected because of earlier failures. Each lowers
+    /// the suspicion at the receiver.
+    std::vector<server_count> successes;
 
     friend bool operator==(const pool_evidence&, const pool_evidence&) = default;
 };
--- a/include/cuminpitch/request/events.hpp
+++ b/include/cuminpitch/request/events.hpp
@@ -265,6 +265,7 @@
     bool may_be_path_failure = false;
     path_result path = path_result::unknown;
     bool is_new_connection = false; ///< A connection was made for this attempt.
+    bool was_overdue = false;       ///< The attempt was reported as overdue before.
     /// Another server answered at this server's address.
     bool is_misdirected = false;
     /// What the response says about the server's rate limit.
--- a/src/entry/failure_relay.cpp
+++ b/src/entry/failure_relay.cpp
@@ -41,16 +41,24 @@
 void failure_relay::collect(
     const core::failure_domain_id& domain,
     const control::pool_evidence& evidence,
-    const std::vector<control::pool_evidence::server_count>& reported_directly)
+    const control::pool_evidence& reported_directly)
 {
+    using counts = std::vector<control::pool_evidence::server_count>;
     if (domain == self_.failure_domain) {
         return;
     }
-    for (const auto& each : evidence.failures) {
-        if (std::find(reported_directly.begin(), reported_directly.end(), each) ==
-            reported_directly.end()) {
-            pending_[evidence.pool][each.server] += each.count;
+    const auto add = [](const counts& all, const counts& known, server_counts& to) {
+        for (const auto& each : all) {
+            if (std::find(known.begin(), known.end(), each) == known.end()) {
+                to[each.server] += each.count;
+            }
         }
+    };
+    auto& it = pending_[evidence.pool];
+    add(evidence.failures, reported_directly.failures, it.failures);
+    add(evidence.successes, reported_directly.successes, it.successes);
+    if (it.failures.empty() && it.successes.empty()) {
+        pending_.erase(evidence.pool);
     }
 }
 
@@ -64,9 +72,12 @@
     for (const auto& [pool, servers] : std::exchange(pending_, {})) {
         auto& it = out.emplace_back();
         it.pool = pool;
-        for (const auto& [server, count] : servers) {
+        for (const auto& [server, count] : servers.failures) {
             it.failures.push_back({server, count});
         }
+        for (const auto& [server, count] : servers.successes) {
+            it.successes.push_back({server, count});
+        }
     }
     return out;
 }
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -381,7 +381,8 @@
         log(telemetry::severity::info,
             "failures reported",
             {{"pool", id.str()},
-             {"servers", static_cast<std::int64_t>(evidence->failures.size())}});
+             {"servers", static_cast<std::int64_t>(evidence->failures.size())},
+             {"recovering", static_cast<std::int64_t>(evidence->successes.size())}});
         const auto relay_targets = relay_.relay_targets(view_->entries);
         absl::btree_map<core::failure_domain_id, control::pool_evidence> by_domain;
         for (const auto& [entry, record] : view_->entries) {
@@ -394,13 +395,12 @@
             }
             const auto [it, is_new] = by_domain.try_emplace(record.failure_domain);
             if (is_new) {
-                it->second.pool = id;
                 // Entries of this domain use the same servers in other domains.
-                it->second.failures = it->first == options_.self.failure_domain
-                                          ? evidence->failures
-                                          : pool.failures_in(it->first, *evidence);
+                it->second = it->first == options_.self.failure_domain
+                                 ? *evidence
+                                 : pool.evidence_in(it->first, *evidence);
             }
-            if (!it->second.failures.empty()) {
+            if (!it->second.failures.empty() || !it->second.successes.empty()) {
                 out_.push_back(send_message(record.internal, it->second));
             }
         }
@@ -484,7 +484,8 @@
     active_peers_[from.internal] = now_;
     const auto pool = shared_pools_.find(evidence.pool);
     if (pool == shared_pools_.end() ||
-        (evidence.failures.empty() && !evidence.in_flight)) {
+        (evidence.failures.empty() && evidence.successes.empty() &&
+         !evidence.in_flight)) {
         return;
     }
     count_reports(evidence, "received");
@@ -495,7 +496,7 @@
         relay_.collect(
             sender->second.failure_domain,
             evidence,
-            pool->second.failures_in(options_.self.failure_domain, evidence));
+            pool->second.evidence_in(options_.self.failure_domain, evidence));
     }
 }
 
--- a/src/entry/shared_pool.cpp
+++ b/src/entry/shared_pool.cpp
@@ -29,6 +29,8 @@
 /// Share of attempts that servers reject from which on suspicions leave all of the
 /// declared minimum of healthy capacity. Below it, avoiding servers costs no room.
 constexpr double rejected_share_of_full_bound = 0.1;
+/// Successes are reported while the suspicion of their server is at least this high.
+constexpr double min_reported_suspicion = 0.1;
 /// An unconfirmed failure is discarded after this time.
 constexpr absl::Duration confirmation_timeout = absl::Seconds(2);
 
@@ -169,7 +171,7 @@
     switch (observed.what) {
     case kind::success:
         rejections_.count(now, false);
-        suspicion_.count_success(observed.server);
+        count_success(now, observed);
         break;
     case kind::overdue:
     case kind::failure:
@@ -186,6 +188,26 @@
     }
 }
 
+void shared_pool::count_success(absl::Time now, const request::observation& observed)
+{
+    if (suspicion_.level(now, observed.server) < min_reported_suspicion) {
+        return;
+    }
+    // The response also withdraws the report that it was overdue.
+    const std::uint32_t n = observed.was_overdue ? 2 : 1;
+    for (std::uint32_t i = 0; i < n; ++i) {
+        suspicion_.count_success(observed.server);
+    }
+    const auto unconfirmed = unconfirmed_.find(observed.server);
+    if (observed.was_overdue && unconfirmed != unconfirmed_.end()) {
+        if (--unconfirmed->second.count == 0) {
+            unconfirmed_.erase(unconfirmed);
+        }
+        return;
+    }
+    unsent_successes_[observed.server] += n;
+}
+
 void shared_pool::count_failure(absl::Time now, const request::observation& observed)
 {
     // A network path that loses packets for this entry may work for others.
@@ -261,6 +283,11 @@
             suspicion_.count_failure(now, failures.server);
         }
     }
+    for (const auto& successes : evidence.successes) {
+        for (std::uint32_t n = 0; n < successes.count; ++n) {
+            suspicion_.count_success(successes.server);
+        }
+    }
 }
 
 std::optional<control::pool_evidence> shared_pool::take_evidence(absl::Time now)
@@ -273,29 +300,34 @@
     absl::erase_if(unconfirmed_, [&](const auto& it) {
         return now - it.second.last > confirmation_timeout;
     });
-    if (unsent_failures_.empty()) {
+    if (unsent_failures_.empty() && unsent_successes_.empty()) {
         return std::nullopt;
     }
     control::pool_evidence out;
     out.pool = id_;
-    for (const auto& [server, count] : unsent_failures_) {
+    for (const auto& [server, count] : std::exchange(unsent_failures_, {})) {
         out.failures.push_back({server, count});
     }
-    unsent_failures_.clear();
+    for (const auto& [server, count] : std::exchange(unsent_successes_, {})) {
+        out.successes.push_back({server, count});
+    }
     return out;
 }
 
-std::vector<control::pool_evidence::server_count> shared_pool::failures_in(
+control::pool_evidence shared_pool::evidence_in(
     const core::failure_domain_id& domain, const control::pool_evidence& all) const
 {
-    std::vector<control::pool_evidence::server_count> out;
-    for (const auto& it : all.failures) {
+    const auto is_outside = [&](const control::pool_evidence::server_count& it) {
         const auto known = servers_.find(it.server);
-        if (known != servers_.end() &&
-            known->second.record.announcement.failure_domain == domain) {
-            out.push_back(it);
-        }
-    }
+        return known == servers_.end() ||
+               known->second.record.announcement.failure_domain != domain;
+    };
+    control::pool_evidence out;
+    out.pool = all.pool;
+    out.failures = all.failures;
+    out.successes = all.successes;
+    std::erase_if(out.failures, is_outside);
+    std::erase_if(out.successes, is_outside);
     return out;
 }
 
--- a/src/entry/shared_pool_priv.hpp
+++ b/src/entry/shared_pool_priv.hpp
@@ -53,16 +53,17 @@
     /// Discards the failures that may be those of this entry's network path, which is
     /// lost. Returns their number.
     std::size_t withdraw_unconfirmed();
-    /// Records the failures and the occupancy that another entry reported.
+    /// Records the failures, successes and occupancy that another entry reported.
     void receive(
         absl::Time now,
         const core::endpoint& from,
         const control::pool_evidence& evidence);
-    /// Removes and returns the failures that this entry has observed since the last call,
-    /// to be sent to other entries. Empty if there were none.
+    /// Removes and returns the failures, and the successes of suspected servers, that
+    /// this entry has observed since the last call, to be sent to other entries. Empty if
+    /// there were none.
     std::optional<control::pool_evidence> take_evidence(absl::Time now);
-    /// The subset of the failures in `all` whose servers are in `domain`.
-    std::vector<control::pool_evidence::server_count> failures_in(
+    /// The subset of the failures and successes in `all` whose servers are in `domain`.
+    control::pool_evidence evidence_in(
         const core::failure_domain_id& domain, const control::pool_evidence& all) const;
 
     /// True if any penalty or suspicion decays, so that the dispatcher needs regular
@@ -85,6 +86,7 @@
         bool is_replaced = false;
     };
 
+    void count_success(absl::Time now, const request::observation& observed);
     void count_failure(absl::Time now, const request::observation& observed);
     void confirm_failures(absl::Time now, const request::observation& observed);
     /// Returns true if the set of preferred servers changed.
@@ -103,6 +105,7 @@
     health::suspicion suspicion_;
     rejected_share rejections_;
     absl::btree_map<core::server_id, std::uint32_t> unsent_failures_;
+    absl::btree_map<core::server_id, std::uint32_t> unsent_successes_;
     /// Failures that a fault of this entry's network path would also cause. They are sent
     /// to other entries once there has been a contact with another server.
     struct unconfirmed_failure
--- a/src/request/dispatcher_attempts.cpp
+++ b/src/request/dispatcher_attempts.cpp
@@ -252,6 +252,7 @@
     observation seen =
         make_observation(it, is_reported ? observation::kind::none : outcome.evidence);
     seen.duration = result.elapsed;
+    seen.was_overdue = it.is_overdue;
     seen.may_be_path_failure = outcome.may_be_path_failure;
     seen.path = path_of(result);
     seen.is_new_connection =
--- a/src/wire/control_decoder.cpp
+++ b/src/wire/control_decoder.cpp
@@ -312,19 +312,26 @@
     return ok;
 }
 
+template <class Counts>
+std::vector<model::pool_evidence::server_count> read_counts(const Counts& in)
+{
+    std::vector<model::pool_evidence::server_count> out;
+    for (const auto* it : in) {
+        out.push_back({core::server_id(it->id()->str()), it->count()});
+    }
+    return out;
+}
+
 bool read(const fb::pool_evidence& in, model::message& out)
 {
     model::pool_evidence it;
     it.pool = {core::team_id(in.team()->str()), in.pool()->str()};
-    for (const auto* count : *in.failures()) {
-        it.failures.push_back({core::server_id(count->id()->str()), count->count()});
-    }
+    it.failures = read_counts(*in.failures());
     if (in.in_flight() != nullptr) {
-        it.in_flight.emplace();
-        for (const auto* count : *in.in_flight()) {
-            it.in_flight->push_back(
-                {core::server_id(count->id()->str()), count->count()});
-        }
+        it.in_flight = read_counts(*in.in_flight());
+    }
+    if (in.successes() != nullptr) {
+        it.successes = read_counts(*in.successes());
     }
     out = std::move(it);
     return true;
--- a/src/wire/control_encoder.cpp
+++ b/src/wire/control_encoder.cpp
@@ -348,14 +348,21 @@
         body.team = it.pool.team.str();
         body.pool = it.pool.name;
         body.failures = to_wire(it.failures);
+        body.successes = to_wire(it.successes);
         auto at = fb::pool_evidence::Pack(to, &body);
         if (it.in_flight) {
             // Pack() would omit an empty vector, but an empty `in_flight` has another
             // meaning than an absent one.
             const auto failures = write(to, it.failures);
             const auto in_flight = write(to, *it.in_flight);
+            const auto successes = write(to, it.successes);
             at = fb::Createpool_evidenceDirect(
-                to, body.team.c_str(), body.pool.c_str(), &failures, &in_flight);
+                to,
+                body.team.c_str(),
+                body.pool.c_str(),
+                &failures,
+                &in_flight,
+                &successes);
         }
         return fb::Createmessage(to, fb::message_body::pool_evidence, at.Union());
     }
--- a/tests/control/control_codec_test.cpp
+++ b/tests/control/control_codec_test.cpp
@@ -89,7 +89,13 @@
             absl::ZeroDuration(),
             0,
             true,
-            customer}};
+            customer},
+        pool_evidence{pool_a, {}, std::nullopt, {{core::server_id("s1"), 2}}},
+        pool_evidence{
+            pool_a,
+            {{core::server_id("s1"), 1}},
+            {{{core::server_id("s2"), 4}}},
+            {{core::server_id("s3"), 2}}}};
 }
 
 // Guards against fields that are lost or swapped by encoding and decoding.
@@ -132,6 +138,8 @@
     EXPECT_EQ(std::get<permit_request>(back[12]), std::get<permit_request>(messages[12]));
     EXPECT_EQ(
         std::get<permit_response>(back[13]), std::get<permit_response>(messages[13]));
+    EXPECT_EQ(std::get<pool_evidence>(back[14]), std::get<pool_evidence>(messages[14]));
+    EXPECT_EQ(std::get<pool_evidence>(back[15]), std::get<pool_evidence>(messages[15]));
 }
 
 // Guards against reads outside a damaged buffer. Decoding may fail or return any value.
--- a/tests/entry/failure_relay_test.cpp
+++ b/tests/entry/failure_relay_test.cpp
@@ -71,11 +71,23 @@
     EXPECT_TRUE(relay.take_due(now + absl::Seconds(1)).empty());
 }
 
+// Guards against entries of a third domain that avoid a server which has recovered.
+TEST_F(failure_relay_test, relays_successes_from_another_domain)
+{
+    control::pool_evidence it;
+    it.pool = pool;
+    it.successes.push_back({core::server_id("s1"), 1});
+    relay.collect(other, it, {});
+    const auto relayed = relay.take_due(now);
+    ASSERT_EQ(relayed.size(), 1U);
+    EXPECT_EQ(relayed[0], it);
+}
+
 // Guards against failures that are counted twice, as each one raises the suspicion.
 TEST_F(failure_relay_test, omits_failures_that_all_entries_receive_directly)
 {
     const auto it = failures_of("s1", 1);
-    relay.collect(other, it, it.failures);
+    relay.collect(other, it, it);
     EXPECT_TRUE(relay.take_due(now).empty());
 }
 
--- a/tests/entry/shared_pool_test.cpp
+++ b/tests/entry/shared_pool_test.cpp
@@ -142,6 +142,70 @@
         << "received failures are not sent on";
 }
 
+// Guards against a server that all entries avoid although one of them has seen it work
+// again.
+TEST_F(shared_pool_test, shares_successes_of_suspected_servers)
+{
+    list_servers({make_server("s1", "a"), make_server("s2", "a")});
+    shared_pool other{pool_p, core::failure_domain_id("a")};
+    other.set_view(now, view);
+    pool.observe(now, make_failure("s1"));
+    other.receive(now, {"10.1.0.1", 1}, *pool.take_evidence(now));
+    const double suspected = other.update(now).servers[0].suspicion;
+    auto success = make_failure("s2");
+    success.what = request::observation::kind::success;
+    pool.observe(now, success);
+    EXPECT_FALSE(pool.take_evidence(now).has_value()) << "s2 wasn't suspected";
+    success.server = core::server_id("s1");
+    pool.observe(now, success);
+    const auto evidence = pool.take_evidence(now);
+    ASSERT_TRUE(evidence.has_value());
+    EXPECT_TRUE(evidence->failures.empty());
+    other.receive(now, {"10.1.0.1", 1}, *evidence);
+    EXPECT_LT(other.update(now).servers[0].suspicion, suspected);
+}
+
+// Guards against full servers that all entries avoid because they answer late.
+TEST_F(shared_pool_test, late_response_withdraws_the_report_that_it_was_overdue)
+{
+    list_servers({make_server("s1", "a")});
+    shared_pool other{pool_p, core::failure_domain_id("a")};
+    other.set_view(now, view);
+    auto overdue = make_failure("s1");
+    overdue.what = request::observation::kind::overdue;
+    pool.observe(now, overdue);
+    other.receive(now, {"10.1.0.1", 1}, *pool.take_evidence(now));
+    EXPECT_GE(other.update(now).servers[0].suspicion, 1);
+    auto success = make_failure("s1");
+    success.what = request::observation::kind::success;
+    success.was_overdue = true;
+    pool.observe(now, success);
+    other.receive(now, {"10.1.0.1", 1}, *pool.take_evidence(now));
+    EXPECT_LT(other.update(now).servers[0].suspicion, 0.5);
+}
+
+// Guards against a report that is sent only after the response has arrived.
+TEST_F(shared_pool_test, late_response_drops_an_unconfirmed_report)
+{
+    list_servers({make_server("s1", "a"), make_server("s2", "a")});
+    auto seen = make_failure("s1");
+    seen.what = request::observation::kind::overdue;
+    seen.path = request::path_result::broken;
+    pool.observe(now, seen);
+    EXPECT_FALSE(pool.take_evidence(now).has_value());
+    seen.what = request::observation::kind::success;
+    seen.path = request::path_result::answered;
+    seen.was_overdue = true;
+    now += absl::Milliseconds(10);
+    pool.observe(now, seen);
+    EXPECT_LT(servers()[0].suspicion, 0.5);
+    seen.was_overdue = false;
+    seen.server = core::server_id("s2");
+    now += absl::Milliseconds(10);
+    pool.observe(now, seen);
+    EXPECT_FALSE(pool.take_evidence(now).has_value());
+}
+
 // Guards against one entry's broken network path making a server suspected at all
 // entries.
 TEST_F(shared_pool_test, does_not_share_path_failures)
