Divide servers among active entries, and compare the others in samples

And an entry whose own servers are busy or suspected compared all others, so that all entries sent to the same few.

The entries of a domain that carry requests divide its servers. Besides those of its part, and those with rate limits, an entry compares a random sample: two servers without a recent failure, or five. The choices are counted from what was compared, instead of computing the load of each server once more.

--- a/src/entry/node_impl_priv.hpp
+++ b/src/entry/node_impl_priv.hpp
@@ -226,6 +226,7 @@
     std::vector<core::endpoint> domain_peers() const;
     std::vector<core::endpoint> active_domain_peers() const;
     void announce_activity();
+    void divide_servers();
     void receive_evidence(const net::peer& from, const control::pool_evidence& evidence);
     void update_condition();
     bool is_isolated() const;
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -279,6 +279,7 @@
         if (std::exchange(recent_requests_, 0) >= min_active_requests) {
             announce_activity();
         }
+        divide_servers();
     }
     if (now_ < next_penalty_update_) {
         return;
@@ -304,7 +305,7 @@
         count_choices(id, n);
         const auto unavailable = n.closed + n.full + n.no_permit + n.suspected;
         const auto allowed = 100 - pool.settings().min_healthy_percent;
-        if (100 * unavailable <= allowed * n.servers) {
+        if (100 * unavailable <= allowed * (n.servers - n.not_compared)) {
             continue;
         }
         const auto per_choice = [&n](std::uint64_t count) {
@@ -318,6 +319,7 @@
              {"servers", per_choice(n.servers)},
              {"closed", per_choice(n.closed)},
              {"full", per_choice(n.full)},
+             {"not_compared", per_choice(n.not_compared)},
              {"no_permit", per_choice(n.no_permit)},
              {"suspected", per_choice(n.suspected)},
              {"penalized", per_choice(n.penalized)},
@@ -336,6 +338,7 @@
     };
     add("closed", it.closed);
     add("full", it.full);
+    add("not-compared", it.not_compared);
     add("no-permit", it.no_permit);
     add("suspected", it.suspected);
     add("penalized", it.penalized);
@@ -356,6 +359,24 @@
     }
 }
 
+/// Divides the servers of this failure domain among its active entries, so that the load
+/// of a server doesn't depend on which entries have callers.
+void node::impl::divide_servers()
+{
+    absl::btree_set<core::instance_id> active;
+    const auto peers = active_domain_peers();
+    for (const auto& [id, record] : view_->entries) {
+        if (std::find(peers.begin(), peers.end(), record.internal) != peers.end()) {
+            active.insert(id);
+        }
+    }
+    for (auto& [id, pool] : shared_pools_) {
+        if (pool.set_active(active)) {
+            update_dispatcher(id);
+        }
+    }
+}
+
 /// Sends an empty pool_evidence, which marks the sender as active. It goes only to the
 /// entries of this failure domain, because only these exchange occupancy reports.
 void node::impl::announce_activity()
--- a/src/entry/shared_pool.cpp
+++ b/src/entry/shared_pool.cpp
@@ -62,8 +62,14 @@
     revision_ = view.revision;
     const bool is_same = applied_servers_ == view.servers && settings_ == declared;
     settings_ = declared;
+    domain_entries_.clear();
+    for (const auto& [id, record] : view.entries) {
+        if (record.failure_domain == own_domain_) {
+            domain_entries_.push_back(id);
+        }
+    }
     if (applied_servers_ == view.servers) {
-        return update_preferred(view) || !is_same;
+        return update_preferred() || !is_same;
     }
     applied_servers_ = view.servers;
     suspicion_.remove_decayed(now);
@@ -86,17 +92,26 @@
         }
     }
     servers_ = std::move(next);
-    update_preferred(view);
+    update_preferred();
     return true;
 }
 
-bool shared_pool::update_preferred(const control::fleet_view& view)
+bool shared_pool::set_active(absl::btree_set<core::instance_id> entries)
 {
-    std::vector<core::instance_id> entries;
-    for (const auto& [id, record] : view.entries) {
-        if (record.failure_domain == own_domain_) {
-            entries.push_back(id);
-        }
+    if (entries == active_) {
+        return false;
+    }
+    active_ = std::move(entries);
+    return update_preferred();
+}
+
+bool shared_pool::update_preferred()
+{
+    auto entries = domain_entries_;
+    if (!active_.empty()) {
+        std::erase_if(entries, [&](const core::instance_id& it) {
+            return it != self_ && !active_.contains(it);
+        });
     }
     std::vector<core::server_id> local_servers;
     for (const auto& [id, it] : servers_) {
--- a/src/entry/shared_pool_priv.hpp
+++ b/src/entry/shared_pool_priv.hpp
@@ -41,6 +41,11 @@
     /// changed.
     bool set_view(absl::Time now, const control::fleet_view& view);
 
+    /// Sets the entries of this failure domain, except this one, that carry requests.
+    /// They divide the servers of the domain among themselves; until any is known, all
+    /// entries do. Returns true if the set of preferred servers changed.
+    bool set_active(absl::btree_set<core::instance_id> entries);
+
     /// The current state of the pool for the request dispatcher.
     request::pool_update update(absl::Time now) const;
     /// Sets the time between two occupancy reports of another entry.
@@ -90,7 +95,7 @@
     void count_failure(absl::Time now, const request::observation& observed);
     void confirm_failures(absl::Time now, const request::observation& observed);
     /// Returns true if the set of preferred servers changed.
-    bool update_preferred(const control::fleet_view& view);
+    bool update_preferred();
     bool is_cold(absl::Time now, const server& candidate) const;
 
     core::pool_id id_;
@@ -101,6 +106,8 @@
     core::revision revision_;
     std::shared_ptr<const control::pool_servers> applied_servers_;
     absl::btree_map<core::server_id, server> servers_;
+    std::vector<core::instance_id> domain_entries_;
+    absl::btree_set<core::instance_id> active_;
     absl::btree_set<core::server_id> preferred_;
     health::suspicion suspicion_;
     rejected_share rejections_;
--- a/src/request/pool_choice.cpp
+++ b/src/request/pool_choice.cpp
@@ -14,6 +14,15 @@
 constexpr double idempotent_suspicion_weight = 0.35;
 /// Lowers the load of a limited server for which there is a permit, as permits expire.
 constexpr double permit_bonus = 0.05;
+/// Of a pool that every entry serves, the servers that this entry prefers are compared,
+/// and of the others of each kind a random sample with this many that have no recent
+/// failure. Entries that compare all choose the same few, as each knows the requests of
+/// the others from reports that may be older than a request takes.
+constexpr std::size_t sampled_without_failure = 2;
+/// Limit of the sample, which is reached if most servers have failed lately.
+constexpr std::size_t max_sampled = 5;
+/// A suspicion below this level changes the choice less than a request in flight.
+constexpr double low_suspicion = 0.25;
 
 /// Penalty, as a fraction of its slots, of a server in another failure domain. The load
 /// that entries of other domains put on it isn't known, so a server in this domain is
@@ -58,12 +67,18 @@
 }
 
 double
-pool_state::suspicion_penalty(const server_slots& it, const live_request& request) const
+pool_state::probing_suspicion(const server_slots& it, const live_request& request) const
 {
     const bool probes = request.route->idempotent || !has_idempotent_route_;
+    return probes ? it.view.probing_suspicion.value_or(it.view.suspicion)
+                  : it.view.suspicion;
+}
+
+double
+pool_state::suspicion_penalty(const server_slots& it, const live_request& request) const
+{
     return (request.route->idempotent ? idempotent_suspicion_weight : suspicion_weight) *
-           (probes ? it.view.probing_suspicion.value_or(it.view.suspicion)
-                   : it.view.suspicion);
+           probing_suspicion(it, request);
 }
 
 double pool_state::load(
@@ -77,35 +92,45 @@
 }
 
 void pool_state::count_choice(
-    absl::Time now, const live_request& request, const server_slots* chosen)
+    absl::Time now,
+    const live_request& request,
+    const std::vector<const server_slots*>& compared,
+    const server_slots* chosen)
 {
     auto& n = choice_counts_;
     ++n.choices;
     n.without_server += chosen == nullptr ? 1 : 0;
-    const double best = chosen == nullptr ? 0 : load(now, *chosen, request);
+    std::size_t free = 0;
     for (const auto& it : servers_) {
         if (!it.is_listed) {
             continue;
         }
         ++n.servers;
-        if (&it == chosen) {
-            continue;
-        }
-        const double own = load(now, it, request);
-        const bool is_only_suspected =
-            chosen != nullptr &&
-            (it.view.suspected != chosen->view.suspected
-                 ? it.view.suspected
-                 : own > best && own - suspicion_penalty(it, request) < best);
         if (!is_eligible(now, it, request)) {
             ++n.closed;
         } else if (it.in_flight >= it.max_in_flight()) {
             ++n.full;
-        } else if (!allows_request(now, it.view)) {
+        } else {
+            ++free;
+        }
+    }
+    n.not_compared += free - compared.size();
+    const double best = chosen == nullptr ? 0 : load(now, *chosen, request);
+    for (const auto* it : compared) {
+        if (it == chosen) {
+            continue;
+        }
+        const double own = load(now, *it, request);
+        const bool is_only_suspected =
+            chosen != nullptr &&
+            (it->view.suspected != chosen->view.suspected
+                 ? it->view.suspected
+                 : own > best && own - suspicion_penalty(*it, request) < best);
+        if (!allows_request(now, it->view)) {
             ++n.no_permit;
         } else if (is_only_suspected) {
             ++n.suspected;
-        } else if (own > best && plain_load(it) < best) {
+        } else if (own > best && plain_load(*it) < best) {
             ++n.penalized;
         } else {
             ++n.busier;
@@ -113,6 +138,41 @@
     }
 }
 
+std::vector<const pool_state::server_slots*> pool_state::free_servers(
+    absl::Time now, const live_request& it, bool in_other_domain) const
+{
+    std::vector<const server_slots*> out;
+    for (const auto& server : servers_) {
+        if (server.view.in_other_domain == in_other_domain &&
+            is_eligible(now, server, it) && server.in_flight < server.max_in_flight()) {
+            out.push_back(&server);
+        }
+    }
+    return out;
+}
+
+void pool_state::reduce_to_sample(
+    std::vector<const server_slots*>& servers,
+    const live_request& it,
+    core::random_source& random) const
+{
+    const auto others =
+        std::partition(servers.begin(), servers.end(), [](const server_slots* each) {
+            const auto& view = each->view;
+            // Permits, not the comparison, bound the requests to a limited server.
+            return view.limit.has_value() || (view.is_preferred && !view.in_other_domain);
+        });
+    auto n = static_cast<std::size_t>(others - servers.begin());
+    const auto limit = std::min(servers.size(), n + max_sampled);
+    std::size_t without_failure = 0;
+    while (n < limit && without_failure < sampled_without_failure) {
+        std::swap(servers[n], servers[n + random() % (servers.size() - n)]);
+        without_failure += probing_suspicion(*servers[n], it) < low_suspicion ? 1 : 0;
+        ++n;
+    }
+    servers.resize(n);
+}
+
 pool_state::choice
 pool_state::pick(absl::Time now, const live_request& it, core::random_source& random)
 {
@@ -143,15 +203,32 @@
         if (server.is_listed && now < server.view.closed_until) {
             out.closed = &server.view;
         }
-        if (!is_eligible(now, server, it) || server.in_flight >= server.max_in_flight()) {
-            continue;
-        }
-        if (allows_request(now, server.view)) {
-            consider(best, server);
-        } else {
-            consider(best_withheld, server);
-            out.withheld.push_back(&server.view);
+    }
+    std::vector<const server_slots*> compared;
+    const auto consider_free = [&](bool is_sampled) {
+        out.withheld.clear();
+        compared.clear();
+        best_withheld = {};
+        for (const bool in_other_domain : {false, true}) {
+            auto servers = free_servers(now, it, in_other_domain);
+            if (is_sampled) {
+                reduce_to_sample(servers, it, random);
+            }
+            compared.insert(compared.end(), servers.begin(), servers.end());
+            for (const auto* server : servers) {
+                if (allows_request(now, server->view)) {
+                    consider(best, *server);
+                } else {
+                    consider(best_withheld, *server);
+                    out.withheld.push_back(&server->view);
+                }
+            }
         }
+    };
+    const bool is_sampled = last_update_.settings.every_entry;
+    consider_free(is_sampled);
+    if (is_sampled && best.server == nullptr) {
+        consider_free(false);
     }
     if (best.server != nullptr) {
         out.server = &best.server->view;
@@ -167,7 +244,7 @@
             out.withheld.push_back(&withheld->view);
         }
     }
-    count_choice(now, it, best.server);
+    count_choice(now, it, compared, best.server);
     return out;
 }
 
--- a/src/request/pool_state_priv.hpp
+++ b/src/request/pool_state_priv.hpp
@@ -184,11 +184,25 @@
         absl::Time now, const server_slots& it, const live_request& request) const;
     /// Load of the server as a fraction of its slots, without and with penalties.
     double plain_load(const server_slots& it) const;
+    /// The suspicion that counts for the request, and its share of the load.
+    double probing_suspicion(const server_slots& it, const live_request& request) const;
     double suspicion_penalty(const server_slots& it, const live_request& request) const;
+    /// The servers of this or of the other failure domains that may get the request.
+    std::vector<const server_slots*>
+    free_servers(absl::Time now, const live_request& it, bool in_other_domain) const;
+    /// Leaves the servers that this entry prefers, those with rate limits, and a random
+    /// sample of the others.
+    void reduce_to_sample(
+        std::vector<const server_slots*>& servers,
+        const live_request& it,
+        core::random_source& random) const;
     double
     load(absl::Time now, const server_slots& it, const live_request& request) const;
-    void
-    count_choice(absl::Time now, const live_request& request, const server_slots* chosen);
+    void count_choice(
+        absl::Time now,
+        const live_request& request,
+        const std::vector<const server_slots*>& compared,
+        const server_slots* chosen);
     void record_dequeue(const admission::taken_request& it, absl::Time now);
     bool is_empty(const caller_key& it) const
     {
--- a/tests/entry/shared_pool_test.cpp
+++ b/tests/entry/shared_pool_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 
 namespace cuminpitch::entry {
 namespace {
@@ -206,6 +207,42 @@
     EXPECT_FALSE(pool.take_evidence(now).has_value());
 }
 
+// Guards against servers that only entries without callers prefer.
+TEST_F(shared_pool_test, active_entries_divide_the_servers_among_themselves)
+{
+    constexpr std::size_t entries = 40;
+    constexpr std::size_t active_entries = 10;
+    std::vector<control::server_record> all;
+    for (int n = 0; n < 100; ++n) {
+        all.push_back(make_server(absl::StrCat("s", 100 + n), "a"));
+    }
+    absl::btree_set<core::instance_id> active;
+    for (std::size_t n = 0; n < entries; ++n) {
+        const core::instance_id id(absl::StrCat("e", 100 + n));
+        view.entries[id] = {
+            id, {"10.0.0.2", 80}, {"10.0.0.2", 7000}, core::failure_domain_id("a")};
+        if (n < active_entries) {
+            active.insert(id);
+        }
+    }
+    list_servers(all);
+    std::map<core::server_id, std::size_t> preferring;
+    for (const auto& id : active) {
+        shared_pool entry{pool_p, core::failure_domain_id("a"), id};
+        entry.set_view(now, view);
+        auto others = active;
+        others.erase(id);
+        EXPECT_TRUE(entry.set_active(others));
+        for (const auto& it : entry.update(now).servers) {
+            preferring[it.id] += it.is_preferred ? 1 : 0;
+        }
+    }
+    for (const auto& [server, count] : preferring) {
+        EXPECT_GE(count, 3U) << server.str();
+        EXPECT_LE(count, 5U) << server.str();
+    }
+}
+
 // Guards against one entry's broken network path making a server suspected at all
 // entries.
 TEST_F(shared_pool_test, does_not_share_path_failures)
