--- a/tests/entry/shared_pool_test.cpp
+++ b/tests/entry/shared_pool_test.cpp
@@ -212,8 +212,10 @@
 {
     constexpr std::size_t entries = 40;
     constexpr std::size_t active_entries = 10;
+    constexpr std::size_t servers = 100;
     std::vector<control::server_record> all;
-    for (int n = 0; n < 100; ++n) {
+    all.reserve(servers);
+    for (std::size_t n = 0; n < servers; ++n) {
         all.push_back(make_server(absl::StrCat("s", 100 + n), "a"));
     }
     absl::btree_set<core::instance_id> active;
