--- a/src/entry/control_link_priv.hpp
+++ b/src/entry/control_link_priv.hpp
@@ -69,8 +69,8 @@
     void switch_target(absl::Time now, std::vector<node_action>& out);
     void ask_peers(std::vector<node_action>& out);
     void apply_stale_updates();
-    /// Logs that a newer revision than `before` is in force. `silent` is the time without
-    /// an answer of control before it.
+    /// Logs the revision that has come into force. `silent` is the time without an answer
+    /// of control before it.
     void
     log_revision(absl::Time now, absl::Duration silent, std::vector<node_action>& out);
     void apply(
--- a/tests/control/split_test.cpp
+++ b/tests/control/split_test.cpp
@@ -32,7 +32,6 @@
         world.run_for(absl::Seconds(8));
         world.add_entries(entries);
         world.run_for(absl::Seconds(3));
-        settled_.assign(entries, world.now());
     }
 
     /// Returns numbers of this many instances.
@@ -68,14 +67,11 @@
         }
     }
 
-    /// Makes changes and judges the entries. With `is_fault` a fault has just begun or
-    /// ended.
-    void run(absl::Duration time, bool is_fault)
+    /// Makes changes and judges the entries, after a fault has begun or ended.
+    void run(absl::Duration time)
     {
         const auto until = world.now() + time;
-        if (is_fault) {
-            settled_.assign(entries, world.now() + settling_time);
-        }
+        settled_ = world.now() + settling_time;
         while (world.now() < until) {
             if (const auto leader = world.leader()) {
                 const auto it = world.ask(*leader, group_simulation::declare(++number_));
@@ -108,7 +104,7 @@
             const bool is_cut = std::find(cut_.begin(), cut_.end(), i) != cut_.end();
             const auto obeyed = world.entry_at(i).link->replica().view()->document_number;
             const auto newer = acknowledged_.upper_bound(obeyed);
-            if (!is_cut && newer != acknowledged_.end() && world.now() > settled_[i]) {
+            if (!is_cut && newer != acknowledged_.end() && world.now() > settled_) {
                 longest_behind_ = std::max(longest_behind_, world.now() - newer->second);
             }
         }
@@ -117,7 +113,7 @@
     core::random_source random_;
     std::uint64_t number_ = 0;
     std::map<std::uint64_t, absl::Time> acknowledged_;
-    std::vector<absl::Time> settled_;
+    absl::Time settled_;
     std::vector<std::size_t> cut_;
     absl::Duration longest_behind_;
 };
@@ -132,7 +128,7 @@
 {
     followed_group group(GetParam());
     group.split(group.any(max_lost));
-    group.run(absl::Seconds(12), true);
+    group.run(absl::Seconds(12));
     EXPECT_GT(group.changes(), 20U);
     EXPECT_LE(group.longest_behind(), deadline);
 }
@@ -144,7 +140,7 @@
     for (const auto i : group.any(max_lost)) {
         group.world.stop(i);
     }
-    group.run(absl::Seconds(12), true);
+    group.run(absl::Seconds(12));
     EXPECT_GT(group.changes(), 20U);
     EXPECT_LE(group.longest_behind(), deadline);
 }
@@ -169,14 +165,14 @@
             }
         }
         group.cut_entries(random() % 8);
-        group.run(absl::Milliseconds(3000 + random() % 3000), true);
+        group.run(absl::Milliseconds(3000 + random() % 3000));
         group.heal();
         for (const auto i : lost) {
             if (!group.world.at(i).running) {
                 group.world.start(i);
             }
         }
-        group.run(absl::Milliseconds(4000 + random() % 3000), true);
+        group.run(absl::Milliseconds(4000 + random() % 3000));
     }
     EXPECT_GT(group.changes(), 60U);
     EXPECT_LE(group.longest_behind(), deadline);
