Name the sources of the second review's scripts so that review/build.sh leaves them out

Cause: review/build.sh of the first review compiles each review/N/case.cpp by itself; it failed at case 6, which needs the stand-ins in review/support-2. Done: the sources of the cases 6 to 9 are called script.cpp; review/build-2.sh builds them.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 out=target/review-2
 mkdir -p "$out"
 g++ -std=c++20 -O1 -Wall -Wextra -c review/support-2/harness.cpp -o "$out/harness.o"
-for source in review/{6,7,8,9,10}/case.cpp; do
+for source in review/{6,7,8,9,10}/script.cpp; do
     if [ -f "$source" ]; then
         name=$(basename "$(dirname "$source")")
         g++ -std=c++20 -O1 -Wall -Wextra "$source" "$out/harness.o" -o "$out/case-$name" -pthread
