Measure the memory of an undisturbed fleet

Cause: net::frame_reader drops the bytes that it has handed out only when a frame arrives in parts. A connection whose frames arrive whole keeps everything that it ever received. Done: a program beside the stand-ins that measures the growth of the processes of a fleet without traffic.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -11,3 +11,4 @@
         g++ -std=c++20 -O1 -Wall -Wextra "$source" "$out/harness.o" -o "$out/case-$name" -pthread
     fi
 done
+g++ -std=c++20 -O1 -Wall -Wextra review/support-2/memory.cpp "$out/harness.o" -o "$out/memory" -pthread
