Let a stopping server close connections after their last open request

Cause: the entry set Connection: close in each response while it drained. The connection took the first such response for its last one and cancelled the requests behind it. Evidence: "caller gone" for the second request in the millisecond of "answered" for the first, while its caller was there. Change: http::server::drain(). A connection decides when it writes the head of a response whether that is the last open one, and only that one closes it; requests behind open ones are not begun any more, an idle connection serves one more. The entry sends the action drain_connections and sets no header.

--- a/include/cuminpitch/entry/events.hpp
+++ b/include/cuminpitch/entry/events.hpp
@@ -100,6 +100,11 @@
     std::vector<telemetry::field> fields;
 };
 
+/// Ends the connections of callers in order: http::server::drain().
+struct drain_connections
+{
+};
+
 /// Stops accepting connections.
 struct stop_listening
 {
@@ -118,6 +123,7 @@
     action::cancel_call,
     action::send_frame,
     action::write_log,
+    action::drain_connections,
     action::stop_listening,
     action::exit>;
 
--- a/include/cuminpitch/entry/node.hpp
+++ b/include/cuminpitch/entry/node.hpp
@@ -57,7 +57,8 @@
     /// The process is killed this long after a planned stop begins. From then on,
     /// requests whose deadline is later are refused. Unlimited if empty.
     std::optional<absl::Duration> stop_timeout;
-    /// During a planned stop, each response closes its connection.
+    /// During a planned stop, each connection closes after the response to its last open
+    /// request.
     bool closes_when_stopping = false;
     /// Slots of backend servers that this entry can keep busy; 0: control's setting.
     std::uint32_t slots = 0;
--- a/include/cuminpitch/http/server.hpp
+++ b/include/cuminpitch/http/server.hpp
@@ -77,6 +77,12 @@
     /// Stops accepting connections. Open connections are still served.
     virtual void stop_listening() = 0;
 
+    /// Ends connections in order: the response to the last open request of a connection
+    /// says that it closes it (RFC 9112, 9.6), and no request behind an open one is read
+    /// any more. A connection without open requests stays open for one more request.
+    /// Thread-safe.
+    virtual void drain() = 0;
+
     /// Number of requests whose response has not been sent completely.
     virtual std::size_t in_flight() const = 0;
 };
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -130,6 +130,7 @@
     void run(entry::action::cancel_call& it) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void run(entry::action::send_frame& it) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void run(entry::action::write_log& it);
+    void run(entry::action::drain_connections& it);
     void run(entry::action::stop_listening& it);
     void run(entry::action::exit& it);
 
@@ -367,6 +368,11 @@
     telemetry::log(it.severity, it.event, it.fields);
 }
 
+void entry_daemon::run(entry::action::drain_connections&)
+{
+    server_->drain();
+}
+
 void entry_daemon::run(entry::action::stop_listening&)
 {
     server_->stop_listening();
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -220,6 +220,9 @@
         return;
     }
     condition_.is_draining = true;
+    if (options_.closes_when_stopping) {
+        out_.emplace_back(action::drain_connections{});
+    }
     refuse_at_ = now_ + options_.stop_grace.value_or(options_.entries_ttl + drain_margin);
     if (options_.stop_timeout) {
         ends_at_ = now_ + *options_.stop_timeout - answer_margin;
@@ -358,9 +361,6 @@
 
 void node::impl::respond(core::request_id id, http::response response)
 {
-    if (condition_.is_draining && options_.closes_when_stopping) {
-        response.headers.set("Connection", "close");
-    }
     out_.emplace_back(action::http_respond{id, std::move(response)});
 }
 
--- a/src/http/pipelined_connection.cpp
+++ b/src/http/pipelined_connection.cpp
@@ -280,7 +280,8 @@
 
 bool pipelined_connection::may_begin() const
 {
-    return !is_last_ && queue_.size() < context_.options.pipeline_depth &&
+    return !is_last_ && (queue_.empty() || !context_.is_draining) &&
+           queue_.size() < context_.options.pipeline_depth &&
            waiting_bytes_ <= max_waiting_bytes;
 }
 
@@ -302,7 +303,10 @@
         const bool is_cut = body_bytes != std::string::npos;
         const bool is_last = !to.is_persistent_ || asks_to_close(it->headers);
         closes = is_cut || is_last;
-        head = response_head_bytes(*it, to.is_head_, is_last);
+        head = response_head_bytes(*it, to.is_head_);
+        if (is_last) {
+            add_close_field(head);
+        }
         if (can_have_body(it->status, to.is_head_)) {
             body = std::move(it->body);
             body.resize(std::min(body.size(), body_bytes));
@@ -316,6 +320,7 @@
     to.answered_ = true;
     to.closes_ = closes;
     waiting_bytes_ += head.size() + body.size();
+    to.response_at_ = to.head_.size();
     to.head_ += head;
     to.body_ = std::move(body);
     unused.swap(to.callback_);
@@ -353,6 +358,7 @@
 void pipelined_connection::flush()
 {
     consume(0); // An exchange that is broken off without a response has no bytes.
+    close_after_last();
     std::array<iovec, max_buffers> buffers{};
     while (!blocked_ && !broken_ && !finished_) {
         msghdr message{};
@@ -373,6 +379,22 @@
     }
 }
 
+/// While the server drains, marks the response to the last open request as the one that
+/// closes the connection, unless a part of it has been written.
+void pipelined_connection::close_after_last()
+{
+    if (!context_.is_draining || queue_.empty()) {
+        return;
+    }
+    auto& last = *queue_.back();
+    if (!last.answered_ || last.closes_ || last.written_ > last.response_at_) {
+        return;
+    }
+    is_last_ = true;
+    last.closes_ = true;
+    waiting_bytes_ += add_close_field(last.head_);
+}
+
 /// Collects the bytes that may be written, up to the first exchange without a response.
 std::size_t pipelined_connection::gather(absl::Span<iovec> out)
 {
--- a/src/http/pipelined_connection_priv.hpp
+++ b/src/http/pipelined_connection_priv.hpp
@@ -25,6 +25,7 @@
     const server::handler handler;
     std::atomic<std::uint64_t> held_bytes{0};
     std::atomic<std::size_t> in_flight{0};
+    std::atomic<bool> is_draining{false};
     lingering_closer closer;
 };
 
@@ -85,6 +86,7 @@
 
     bool may_begin() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void flush() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void close_after_last() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     std::size_t gather(absl::Span<iovec> out) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void consume(std::size_t bytes) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void cancel_from(std::size_t index) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
--- a/src/http/pipelined_exchange_priv.hpp
+++ b/src/http/pipelined_exchange_priv.hpp
@@ -39,6 +39,7 @@
     bool gone_ = false; ///< Removed from the connection without a response.
     std::string head_;  ///< Status 100 if it was sent, and the head of the response.
     std::string body_;
+    std::size_t response_at_ = 0; ///< Where the response begins in `head_`.
     std::size_t written_ = 0;
     std::uint64_t held_bytes_ = 0;
     std::function<void()> callback_;
--- a/src/http/pipelined_server_priv.hpp
+++ b/src/http/pipelined_server_priv.hpp
@@ -15,6 +15,7 @@
 
     core::endpoint listening() const override;
     void stop_listening() override;
+    void drain() override { context_.is_draining = true; }
     std::size_t in_flight() const override { return context_.in_flight; }
 
 private:
--- a/src/http/response_bytes.cpp
+++ b/src/http/response_bytes.cpp
@@ -93,7 +93,7 @@
     return false;
 }
 
-std::string response_head_bytes(const response& it, bool is_head, bool closes)
+std::string response_head_bytes(const response& it, bool is_head)
 {
     std::string out;
     out.reserve(typical_head_bytes);
@@ -106,9 +106,6 @@
             absl::StrAppend(&out, name, ": ", value, "\r\n");
         }
     }
-    if (closes) {
-        out += "Connection: close\r\n";
-    }
     if (can_have_body(it.status, false)) {
         absl::StrAppend(&out, "Content-Length: ", announced_size(it, is_head), "\r\n");
     }
@@ -116,4 +113,12 @@
     return out;
 }
 
+std::size_t add_close_field(std::string& head)
+{
+    constexpr std::string_view field = "Connection: close\r\n";
+    constexpr std::size_t empty_line = 2;
+    head.insert(head.size() - empty_line, field);
+    return field.size();
+}
+
 } // namespace cuminpitch::http
--- a/src/http/response_bytes_priv.hpp
+++ b/src/http/response_bytes_priv.hpp
@@ -6,9 +6,11 @@
 
 namespace cuminpitch::http {
 
-/// Status line and headers of a response as sent, with the empty line. `closes`: the
-/// connection closes after the response.
-std::string response_head_bytes(const response& it, bool is_head, bool closes);
+/// Status line and headers of a response as sent, with the empty line.
+std::string response_head_bytes(const response& it, bool is_head);
+
+/// Adds "Connection: close" to a head as sent. Returns the number of added bytes.
+std::size_t add_close_field(std::string& head);
 
 /// False if a response with this status, or to a HEAD request, ends with its headers.
 bool can_have_body(int status, bool is_head);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -84,6 +84,7 @@
     bool start();
     core::endpoint listening() const override;
     void stop_listening() override;
+    void drain() override { is_draining_ = true; }
     std::size_t in_flight() const override { return in_flight_; }
 
 private:
@@ -115,6 +116,7 @@
     bool hold(incoming& it, std::size_t body_bytes);
     MHD_Result finish(MHD_Connection* connection, incoming& it);
     void refuse_body(incoming& it, refusal why);
+    MHD_Result refuse(MHD_Connection* connection, const refusal& why, bool is_head) const;
 
     const server_options options_;
     const handler handler_;
@@ -122,6 +124,7 @@
     std::atomic<std::uint64_t> held_bytes_{0};
     std::atomic<std::size_t> in_flight_{0};
     std::atomic<bool> is_listening_{true};
+    std::atomic<bool> is_draining_{false};
     disconnect_watcher watcher_;
     lingering_closer closer_;
     absl::Mutex mutex_;
@@ -341,11 +344,21 @@
     if (!it.handled) {
         it.handled = true;
         if (it.refused) {
-            return queue_response(connection, refusal_response(*it.refused), it.is_head);
+            return refuse(connection, *it.refused, it.is_head);
         }
         handler_(std::move(it.message), it.exchange);
     }
-    return it.exchange->respond_or_suspend(it.is_head);
+    return it.exchange->respond_or_suspend(it.is_head, is_draining_);
+}
+
+MHD_Result microhttpd_server::refuse(
+    MHD_Connection* connection, const refusal& why, bool is_head) const
+{
+    auto it = refusal_response(why);
+    if (is_draining_) {
+        it.headers.set("Connection", "close");
+    }
+    return queue_response(connection, std::move(it), is_head);
 }
 
 void microhttpd_server::refuse_body(incoming& it, refusal why)
--- a/src/http/suspended_exchange.cpp
+++ b/src/http/suspended_exchange.cpp
@@ -164,7 +164,7 @@
     }
 }
 
-MHD_Result suspended_exchange::respond_or_suspend(bool is_head)
+MHD_Result suspended_exchange::respond_or_suspend(bool is_head, bool closes)
 {
     const absl::MutexLock lock(&mutex_);
     if (disconnected_) {
@@ -174,6 +174,9 @@
         if (!answer_.message) {
             return MHD_NO;
         }
+        if (closes) {
+            answer_.message->headers.set("Connection", "close");
+        }
         return queue_response(
             connection_, std::move(*answer_.message), is_head, answer_.cut_after);
     }
--- a/src/http/suspended_exchange_priv.hpp
+++ b/src/http/suspended_exchange_priv.hpp
@@ -27,8 +27,9 @@
     void on_server_stop() override;
 
     /// Queues the response if there is one, otherwise suspends the connection. Must be
-    /// called on the connection's thread.
-    MHD_Result respond_or_suspend(bool is_head);
+    /// called on the connection's thread. With `closes` the connection closes after the
+    /// response.
+    MHD_Result respond_or_suspend(bool is_head, bool closes);
 
     /// Must be called before libmicrohttpd releases the connection.
     void close();
--- a/tests/entry/planned_stop_test.cpp
+++ b/tests/entry/planned_stop_test.cpp
@@ -18,6 +18,7 @@
         auto options = entry_options();
         options.stop_grace = grace / 2;
         options.stop_timeout = grace;
+        options.closes_when_stopping = true;
         entry =
             std::make_unique<node>(options, control::make_compile_function(), metrics);
         entry->handle(now, event::tick{});
@@ -54,6 +55,22 @@
         return out;
     }
 
+    /// The action of this type; null if there is none or more than one.
+    template <class T>
+    static const T* only(const std::vector<node_action>& from)
+    {
+        const T* out = nullptr;
+        for (const auto& it : from) {
+            if (const T* found = std::get_if<T>(&it)) {
+                if (out != nullptr) {
+                    return nullptr;
+                }
+                out = found;
+            }
+        }
+        return out;
+    }
+
     telemetry::metrics metrics;
     std::unique_ptr<node> entry;
     absl::Time now = absl::FromUnixSeconds(1000);
@@ -75,5 +92,26 @@
     EXPECT_EQ(outcome_of_request(absl::Milliseconds(100)), 503);
 }
 
+// Guards against a response that closes its connection although requests behind it run at
+// servers: only the server that has the connection knows which response is the last.
+TEST_F(planned_stop, leaves_the_end_of_connections_to_the_server)
+{
+    const auto sent = entry->handle(now, make_request(++last_id));
+    const auto* call = only<action::start_call>(sent);
+    ASSERT_NE(call, nullptr);
+    EXPECT_NE(
+        only<action::drain_connections>(entry->handle(now, event::stop{})), nullptr);
+    EXPECT_EQ(
+        only<action::drain_connections>(entry->handle(now, event::stop{})), nullptr);
+    http::client_result result;
+    result.verdict = core::verdict::ran;
+    const auto answered =
+        entry->handle(now, event::call_finished{call->call, std::move(result)});
+    const auto* answer = only<action::http_respond>(answered);
+    ASSERT_NE(answer, nullptr);
+    EXPECT_EQ(answer->response.status, 200);
+    EXPECT_FALSE(answer->response.headers.has("Connection"));
+}
+
 } // namespace
 } // namespace cuminpitch::entry
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -342,6 +342,33 @@
     EXPECT_EQ(second.error(), core::errc::address_in_use);
 }
 
+// Guards against a connection that stays open, without a word to its caller, when the
+// server stops.
+TEST_P(server_test, draining_server_closes_with_the_next_response)
+{
+    auto options = on_loopback();
+    options.max_body_bytes = 10;
+    const auto it = start(&echo, options);
+    ASSERT_TRUE(it);
+    const raw_caller served(it->listening().port);
+    const raw_caller refused(it->listening().port);
+    const std::string request = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+    for (const auto* caller : {&served, &refused}) {
+        caller->send(request);
+        EXPECT_EQ(
+            caller->read_to("\r\n\r\n").find("Connection: close"), std::string::npos);
+    }
+    it->drain();
+    served.send(request);
+    refused.send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n12345678901");
+    const auto text = served.read_all();
+    EXPECT_EQ(status_of(text), "200");
+    EXPECT_NE(text.find("Connection: close\r\n"), std::string::npos) << text;
+    const auto refusal = refused.read_all();
+    EXPECT_EQ(status_of(refusal), "413");
+    EXPECT_NE(refusal.find("Connection: close\r\n"), std::string::npos) << refusal;
+}
+
 INSTANTIATE_TEST_SUITE_P(
     pipeline_depth,
     server_test,
--- a/tests/support/memory_fleet.cpp
+++ b/tests/support/memory_fleet.cpp
@@ -557,6 +557,9 @@
     log(at.options.self.id.str(), it.event, it.fields);
 }
 
+/// Callers of this fleet have no connections.
+void memory_fleet::run(entry_process&, entry::action::drain_connections&) {}
+
 void memory_fleet::run(entry_process& at, entry::action::stop_listening&)
 {
     log(at.options.self.id.str(), "stop listening", {});
--- a/tests/support/memory_fleet.hpp
+++ b/tests/support/memory_fleet.hpp
@@ -206,6 +206,7 @@
     void run(entry_process& at, entry::action::cancel_call& it);
     void run(entry_process& at, entry::action::send_frame& it);
     void run(entry_process& at, entry::action::write_log& it);
+    void run(entry_process& at, entry::action::drain_connections& it);
     void run(entry_process& at, entry::action::stop_listening& it);
     void run(entry_process& at, entry::action::exit& it);
     void run(control_process& at, consensus::write_hard_state& it);
