Route waiting requests again when their pool is removed

Cause: dispatcher::remove_pool refused the queue of a removed pool as if its requests had no route, without a look at the declarations that removed it; a request that waited for its customer's permit ended the same way. Change: such requests are treated like ones that arrive now: route, split, key, deadline, rank and team share come from the declarations in force; time of arrival, attempts and the permit are kept. The entry removes pools after it has updated the declared ones. Repeated attempts and requests that come back from another entry take the same way; the new route must allow the repetition and the new pool's retry budget pays for it. New: log line "rerouted" with both revisions, cuminpitch_rerouted_requests_total.

--- a/include/cuminpitch/request/dispatcher.hpp
+++ b/include/cuminpitch/request/dispatcher.hpp
@@ -65,8 +65,10 @@
     void set_entry(const entry_state& it);
 
     std::vector<action> update_pool(absl::Time now, pool_update it);
-    /// Removes a pool that is no longer declared. Its queued requests are refused; those
-    /// already sent are finished.
+    /// Removes a pool that is no longer declared. Its waiting requests go where the
+    /// routes lead now, or are refused with `no_route`; those already sent are finished.
+    /// Requires that set_routes() and update_pool() have been called for the new
+    /// declarations.
     std::vector<action> remove_pool(absl::Time now, const core::pool_id& pool);
 
     /// Expects a `tick` about every 20 ms. Drops the result of an unknown attempt, and a
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -109,7 +109,7 @@
             view_->declarations, options_.dialect.paths);
         dispatcher_.set_routes(routes_);
         allowances_.set_declared(view_->declarations);
-        drop_undeclared_pools(previous.get());
+        update_condition(); // Includes the revision of the declarations.
     }
     const bool same_entries = previous && previous->entries == view_->entries;
     if (!same_entries) {
@@ -128,11 +128,13 @@
             update_pool(declared);
         }
     }
+    drop_undeclared_pools(previous.get());
 }
 
+/// Must follow the updates of the pools that are declared: waiting requests move there.
 void node::impl::drop_undeclared_pools(const control::fleet_view* previous)
 {
-    if (previous == nullptr) {
+    if (previous == nullptr || previous->declarations == view_->declarations) {
         return;
     }
     for (const auto& [id, declared] : previous->declarations->pools) {
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -75,14 +75,15 @@
     if (found == pools_.end()) {
         return {};
     }
-    for (const request_id waiting : found->second->queue().drain()) {
-        conclude(*live_.at(waiting), refusal_reason::no_route);
-    }
+    const auto waiting = found->second->queue().drain();
     pool_update nothing;
     nothing.pool = id;
     found->second->update(std::move(nothing));
     removed_.insert(id);
     rate_limited_pools_.erase(id);
+    for (const request_id each : waiting) {
+        reroute(*live_.at(each));
+    }
     erase_removed(id);
     return std::move(out_);
 }
@@ -150,7 +151,6 @@
     request.id = it.id;
     request.message = std::move(it.message);
     request.received = now_ - it.waited;
-    request.caller = caller_of(*request.message);
     request.is_from_entry = request.message->headers.has(hop_header);
     std::uint32_t max_sends = 0;
     if (request.is_from_entry &&
@@ -160,36 +160,52 @@
     if (!options_.dialect.correlation.empty()) {
         request.correlation = request.message->headers.get(options_.dialect.correlation);
     }
-    if (!options_.has_admission_control || !options_.dialect.identifies_callers) {
-        request.caller = core::caller_id("any");
-    }
-    auto why = apply_filters(request);
-    if (request.customer != nullptr && options_.has_admission_control) {
-        request.caller = core::caller_id(request.customer->id.str());
+    const auto why = check(request);
+    if (request.is_from_entry && !why) {
+        counters_.add("cuminpitch_requests_from_entries_total", pool_label(request));
     }
-    if (!why && is_shed(request)) {
-        why = refusal_reason::shed_by_priority;
+    place(std::move(arrived), why);
+}
+
+/// Looks up the route of a request and checks whether the request may be accepted.
+std::optional<refusal_reason> dispatcher::impl::check(live_request& it)
+{
+    const bool is_identified =
+        options_.has_admission_control && options_.dialect.identifies_callers;
+    it.caller = is_identified ? caller_of(*it.message) : core::caller_id("any");
+    it.customer = nullptr;
+    it.needs_forwarding = false;
+    const auto why = apply_filters(it);
+    if (it.customer != nullptr && options_.has_admission_control) {
+        it.caller = core::caller_id(it.customer->id.str());
     }
-    if (!why) {
-        why = admit_to_entry(request.pool->id.team);
+    if (why) {
+        return why;
     }
+    return is_shed(it) ? refusal_reason::shed_by_priority
+                       : admit_to_entry(it.pool->id.team);
+}
+
+/// Sends, forwards or queues a request that isn't in `live_`, or refuses it.
+void dispatcher::impl::place(live_ptr it, std::optional<refusal_reason> why)
+{
+    live_request& request = *it;
     if (why) {
-        refuse_request(request, *why, core::verdict::not_run);
+        conclude(request, *why);
         return;
     }
     teams_.add(request.pool->id.team);
-    live_[request.id] = std::move(arrived);
+    request.declared = entry_.declared;
+    live_[request.id] = std::move(it);
     set_timer(request, request.deadline);
-    if (request.is_from_entry) {
-        counters_.add("cuminpitch_requests_from_entries_total", pool_label(request));
-    }
     // The entry that sends the request to a server counts it.
     if (!request.needs_forwarding || !request.pool->every_entry) {
         pool_of(request)->budget().count_request(now_);
     }
     if (request.needs_forwarding) {
         forward_to_entry(request);
-    } else if (request.customer != nullptr && request.customer->rate) {
+    } else if (
+        request.customer != nullptr && request.customer->rate && !request.has_permit) {
         request.at = live_request::phase::awaiting_permit;
         out_.emplace_back(request_allowance{request.id, request.customer->id});
     } else {
@@ -197,6 +213,51 @@
     }
 }
 
+/// Treats a waiting request, whose pool was removed, like one that arrives now: the
+/// declarations in force decide. It keeps its time of arrival, its attempts and the
+/// permit of its customer.
+void dispatcher::impl::reroute(live_request& it)
+{
+    const core::pool_id from = it.pool->id;
+    const core::revision before = it.declared;
+    live_ptr request = remove_request(it);
+    it.at = live_request::phase::arriving;
+    auto why = check(it);
+    if (is_pool_removed(it)) {
+        why = refusal_reason::no_route;
+    }
+    if (!why && it.sends > 0 && !may_repeat_on_new_route(it)) {
+        why = refusal_reason::attempts_spent;
+    }
+    const char* outcome = why ? to_string(*why) : "moved";
+    counters_.add(
+        "cuminpitch_rerouted_requests_total",
+        {{"pool", from.str()}, {"outcome", outcome}});
+    explain_decision(
+        it,
+        "rerouted",
+        {{"from", from.str()},
+         {"pool", why ? std::string() : it.pool->id.str()},
+         {"outcome", std::string(outcome)},
+         {"declared_before", static_cast<std::int64_t>(before.value())},
+         {"declared", static_cast<std::int64_t>(entry_.declared.value())},
+         {"waited_ms", absl::ToInt64Milliseconds(now_ - it.received)}});
+    place(std::move(request), why);
+}
+
+/// Attempts at servers of the old pool count against the limit of the new route. The
+/// repetition is charged to the pool that gets it.
+bool dispatcher::impl::may_repeat_on_new_route(const live_request& it)
+{
+    return (!it.may_have_run || it.route->idempotent) && has_attempts_left(it) &&
+           pool_of(it)->budget().take();
+}
+
+bool dispatcher::impl::is_pool_removed(const live_request& it) const
+{
+    return !pools_.contains(it.pool->id) || removed_.contains(it.pool->id);
+}
+
 std::optional<refusal_reason> dispatcher::impl::apply_filters(live_request& it) const
 {
     const filter_context context{
@@ -430,16 +491,18 @@
     }
     live_request& request = *found->second;
     request.at = live_request::phase::arriving;
-    const pool_state* pool = pool_of(request);
     if (it.what != allowance_decided::outcome::granted) {
         const bool is_over = it.what == allowance_decided::outcome::over_allowance;
         request.permit_wait = it.retry_after;
         conclude(
             request,
             is_over ? refusal_reason::over_allowance : refusal_reason::allowance_unknown);
-    } else if (pool == nullptr) {
-        conclude(request, refusal_reason::no_route);
-    } else if (!pool->last_update().is_assigned) {
+        return;
+    }
+    request.has_permit = true;
+    if (is_pool_removed(request)) {
+        reroute(request);
+    } else if (!pool_of(request)->last_update().is_assigned) {
         conclude(request, refusal_reason::not_assigned);
     } else {
         dispatch_again(request);
@@ -507,12 +570,19 @@
 void dispatcher::impl::erase_request(live_request& it)
 {
     const auto found = live_.find(it.id);
-    if (found == live_.end() || found->second.get() != &it) {
-        return;
+    if (found != live_.end() && found->second.get() == &it) {
+        remove_request(it);
     }
+}
+
+dispatcher::impl::live_ptr dispatcher::impl::remove_request(const live_request& it)
+{
     timers_.erase({it.timer_at, it.id});
     teams_.remove(it.pool->id.team);
+    const auto found = live_.find(it.id);
+    live_ptr out = std::move(found->second);
     live_.erase(found);
+    return out;
 }
 
 pool_state* dispatcher::impl::pool_of(const live_request& it) const
--- a/src/request/dispatcher_attempts.cpp
+++ b/src/request/dispatcher_attempts.cpp
@@ -310,6 +310,7 @@
 bool dispatcher::impl::retry_at_server(live_request& it, const attempt_outcome& outcome)
 {
     pool_state& pool = *pool_of(it);
+    const bool is_removed = is_pool_removed(it);
     const bool may_forward = pool.forwards() && !it.is_from_entry;
     const char* why = nullptr;
     // An attempt that never reached a server puts no load on the pool.
@@ -321,8 +322,8 @@
     } else if (lacks_time(it, pool)) {
         why = "deadline";
     } else if (
-        !pool.last_update().is_assigned ||
-        (!may_forward && !pool.has_untried(now_, it))) {
+        !is_removed && (!pool.last_update().is_assigned ||
+                        (!may_forward && !pool.has_untried(now_, it)))) {
         why = "no-other-server";
     } else if (!has_attempts_left(it)) {
         why = "attempts-spent";
@@ -331,7 +332,7 @@
         pool.shedder().is_cut(now_, it.rank(), it.caller)) {
         // Leaves the retry budget to requests that the servers should not have rejected.
         why = "shed-by-priority";
-    } else if (!needs_no_budget && !pool.budget().take()) {
+    } else if (!is_removed && !needs_no_budget && !pool.budget().take()) {
         counters_.add("cuminpitch_retries_over_budget_total", pool_label(it));
         why = "budget";
     }
@@ -340,7 +341,11 @@
         return false;
     }
     count_retry(it, outcome);
-    dispatch_again(it);
+    if (is_removed) {
+        reroute(it);
+    } else {
+        dispatch_again(it);
+    }
     return true;
 }
 
@@ -462,7 +467,11 @@
     note_rejected_response(it, result);
     it.may_have_run = it.may_have_run || is_sent;
     it.last_failure = outcome.failure;
-    const bool is_final = is_response && !it.may_have_run &&
+    // Another entry may have removed the pool before this one did.
+    const bool is_moved =
+        is_pool_removed(it) && (reason == to_string(refusal_reason::no_route) ||
+                                reason == to_string(refusal_reason::not_assigned));
+    const bool is_final = is_response && !it.may_have_run && !is_moved &&
                           (!it.pool->every_entry || !is_fault_of_entry(reason));
     if (!is_final && retry_at_entry(it, outcome)) {
         return;
@@ -481,8 +490,15 @@
 
 bool dispatcher::impl::retry_at_entry(live_request& it, const attempt_outcome& outcome)
 {
-    if (!may_retry(it, outcome) || now_ >= it.deadline || pool_of(it) == nullptr ||
-        untried_entries(it).empty()) {
+    if (!may_retry(it, outcome) || now_ >= it.deadline) {
+        return false;
+    }
+    if (is_pool_removed(it)) {
+        count_retry(it, outcome);
+        reroute(it);
+        return true;
+    }
+    if (untried_entries(it).empty()) {
         return false;
     }
     // An entry that didn't run the request has put no load on the pool.
--- a/src/request/dispatcher_impl_priv.hpp
+++ b/src/request/dispatcher_impl_priv.hpp
@@ -54,6 +54,11 @@
     void on(const allowance_decided& it);
     void on(const tick& it);
 
+    std::optional<refusal_reason> check(live_request& it);
+    void place(live_ptr it, std::optional<refusal_reason> why);
+    void reroute(live_request& it);
+    bool may_repeat_on_new_route(const live_request& it);
+    bool is_pool_removed(const live_request& it) const;
     std::optional<refusal_reason> apply_filters(live_request& it) const;
     std::optional<refusal_reason> admit_to_entry(const core::team_id& team);
     bool evict_from_team(const core::team_id& team);
@@ -118,6 +123,7 @@
     void end_attempt(live_request& it);
     void set_timer(live_request& it, absl::Time timer_at);
     void erase_request(live_request& it);
+    live_ptr remove_request(const live_request& it);
     pool_state* pool_of(const live_request& it) const;
     void erase_removed(const core::pool_id& id);
     telemetry::labels pool_label(const live_request& it) const;
--- a/src/request/live_request_priv.hpp
+++ b/src/request/live_request_priv.hpp
@@ -33,6 +33,9 @@
     const config::pool_settings* pool = nullptr;
     /// Null if the request has no key. Kept alive by `routes`.
     const config::customer_settings* customer = nullptr;
+    bool has_permit = false; ///< Of the customer's rate.
+    /// Revision of the declarations by which the request was accepted.
+    core::revision declared;
     /// The key is removed before the request is sent to a server, and the name of the
     /// customer is set.
     bool hides_key = false;
--- a/tests/request/key_test.cpp
+++ b/tests/request/key_test.cpp
@@ -152,6 +152,25 @@
     EXPECT_EQ(sent.send.headers.get("Authorization"), "Bearer k-9");
 }
 
+// Guards against a request that is served with a revoked key because it waited.
+TEST_F(key_test, waiting_request_that_moves_needs_a_valid_key)
+{
+    with_key("Bearer k-1");
+    with_key("Bearer k-1");
+    with_key("Bearer k-1");
+    const core::pool_id pool_n{pool_p.team, "n"};
+    declared = std::make_shared<config::declarations>(*declared);
+    declared->pools.erase(pool_p);
+    declared->pools[pool_n].id = pool_n;
+    for (auto& [id, route] : declared->routes) {
+        route.pool = route.pool == pool_p ? pool_n : route.pool;
+    }
+    declared->customers.begin()->second.keys = {"k-3"};
+    entry->set_routes(std::make_shared<route_table>(declared));
+    serve(pool_n, 1);
+    expect_refusal(entry->remove_pool(now, pool_p), refusal_reason::unknown_key);
+}
+
 /// As key_test, with a rate.
 class rate_test : public key_test
 {
@@ -212,5 +231,33 @@
         decide(last, allowance_decided::outcome::granted), refusal_reason::no_route);
 }
 
+// Guards against a 404 for a request whose route moves while it waits for its permit, and
+// against a second permit that is charged to the customer for the move.
+TEST_F(rate_test, request_that_moves_keeps_its_permit)
+{
+    const core::pool_id pool_n{pool_p.team, "n"};
+    const auto move = [&](const core::pool_id& from, const core::pool_id& to) {
+        declared = std::make_shared<config::declarations>(*declared);
+        declared->pools.erase(from);
+        declared->pools[to].id = to;
+        for (auto& [id, route] : declared->routes) {
+            route.pool = route.pool == from ? to : route.pool;
+        }
+        entry->set_routes(std::make_shared<route_table>(declared));
+        serve(to, 1);
+        return entry->remove_pool(now, from);
+    };
+    with_key("Bearer k-1");
+    EXPECT_TRUE(move(pool_p, pool_n).empty());
+    const auto sent = decide(last, allowance_decided::outcome::granted);
+    EXPECT_EQ(only<start_attempt>(sent).pool, pool_n);
+    EXPECT_TRUE(all<request_allowance>(sent).empty());
+    with_key("Bearer k-1");
+    EXPECT_TRUE(decide(last, allowance_decided::outcome::granted).empty()); // No slot.
+    const auto moved = move(pool_n, pool_p);
+    EXPECT_EQ(only<start_attempt>(moved).pool, pool_p);
+    EXPECT_TRUE(all<request_allowance>(moved).empty());
+}
+
 } // namespace
 } // namespace cuminpitch::request
