--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -18,11 +18,14 @@
     R"("slots":6,"state":"ready","warmup-ms":0,"seq":4,"born":1700000000000})";
 
 const std::string configuration =
-    R"({"version":"r7","listeners":[{"host":"h","rule-set":[{"name":"r-1",)"
+    R"({"version":"r7","limits":{"max-header-bytes":16384,"max-body-bytes":67108864,)"
+    R"("header-timeout-ms":3000,"idle-timeout-ms":15000},)"
+    R"("listeners":[{"host":"h","rule-set":[{"name":"r-1",)"
     R"("kind":"safe","target-latency-ms":1000,"priority":1,)"
     R"("match":{"path-prefix":"/a/"},)"
     R"("action":{"service":"one","timeout-ms":2500,"max-attempts":2}}]}],)"
-    R"("clusters":[{"name":"one","health-path":"/h","max-connections":390}]})";
+    R"("clusters":[{"name":"one","health-path":"/h","max-connections":390},)"
+    R"({"name":"two"}]})";
 
 std::string
 replaced(const std::string& in, const std::string& from, const std::string& to)
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -12,8 +12,11 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <map>
+#include <set>
 #include <utility>
+#include <vector>
 
 namespace cuminpitch::platform {
 namespace {
@@ -171,6 +174,141 @@
     EXPECT_TRUE(std::holds_alternative<decode_error>(cut));
 }
 
+/// Each member of the objects in `from`, with the names on its path. Elements of lists
+/// have the same path.
+void visit_members(
+    json& from,
+    const std::string& path,
+    const std::function<void(json& object, const std::string& name, const std::string&)>&
+        visit)
+{
+    if (from.is_array()) {
+        for (auto& it : from) {
+            visit_members(it, path, visit);
+        }
+    } else if (from.is_object()) {
+        std::vector<std::string> names;
+        for (const auto& [name, value] : from.items()) {
+            names.push_back(name);
+        }
+        for (const auto& name : names) {
+            const auto at = path.empty() ? name : path + "." + name;
+            visit(from, name, at);
+            visit_members(from.at(name), at, visit);
+        }
+    }
+}
+
+/// A configuration with every member that the platform's page names.
+json complete_sample()
+{
+    json out = sample();
+    for (auto& it : out["clusters"]) {
+        it["protocol"] = "h1";
+        it["tls"] = false;
+    }
+    out["tenants"] = json::array(
+        {{{"name", "t-1"},
+          {"api-keys", {"k-1"}},
+          {"priority", 2},
+          {"rate-per-s", 5},
+          {"burst", 2}}});
+    auto& rules = out["listeners"][0]["rule-set"];
+    rules[0]["public"] = true;
+    rules[1]["action"]["service"] = "two"; // Beside the split.
+    return out;
+}
+
+// Guards against a reader that takes what it understands and leaves out the rest:
+// review/9 had null in place of lists accepted, and all routes dropped.
+TEST(platform_declarations, refuses_members_of_another_type)
+{
+    const std::vector<json> replacements = {
+        nullptr, 7, "seven", true, json::array(), json::object()};
+    json whole = complete_sample();
+    ASSERT_TRUE(compiled(whole).has_value());
+    int replaced = 0;
+    visit_members(whole, "", [&](json& object, const std::string& name, const auto& at) {
+        const json before = object.at(name);
+        for (const auto& it : replacements) {
+            const bool is_same_type =
+                it.type() == before.type() || (it.is_number() && before.is_number());
+            if (is_same_type) {
+                continue;
+            }
+            object[name] = it;
+            const auto read = decode_configuration(whole.dump(), {17});
+            const auto* why = std::get_if<decode_error>(&read);
+            ASSERT_NE(why, nullptr) << at << " is " << it;
+            EXPECT_NE(why->reason.find(name), std::string::npos) << why->reason;
+            ++replaced;
+        }
+        object[name] = before;
+    });
+    EXPECT_GT(replaced, 150);
+}
+
+// Guards against a part of the configuration that is missing, and with it what was in
+// force.
+TEST(platform_declarations, refuses_missing_members)
+{
+    // Each has a default, or stands for something that a deployment may not have.
+    const std::set<std::string> optional = {
+        "tenants",
+        "tenants.api-keys",
+        "tenants.priority",
+        "tenants.rate-per-s",
+        "tenants.burst",
+        "clusters.health-path",
+        "clusters.max-connections",
+        "clusters.protocol",
+        "clusters.tls",
+        "listeners.rule-set.public",
+        "listeners.rule-set.priority",
+        "listeners.rule-set.target-latency-ms",
+        "listeners.rule-set.action.max-attempts"};
+    json whole = complete_sample();
+    whole["listeners"][0]["rule-set"][1]["action"].erase("service");
+    visit_members(whole, "", [&](json& object, const std::string& name, const auto& at) {
+        const json before = object.at(name);
+        object.erase(name);
+        EXPECT_EQ(compiled(whole).has_value(), optional.contains(at)) << at;
+        object[name] = before;
+    });
+    whole["listeners"][0]["rule-set"][0]["unknown"] = json::object();
+    EXPECT_TRUE(compiled(whole).has_value());
+}
+
+// Guards against parts of a split that replace each other before their weights are
+// checked, and against a service that nobody looks at: review/9 had both acknowledged.
+TEST(platform_declarations, reads_every_part_of_a_split)
+{
+    const auto split_into = [](const json& parts, const json& beside = nullptr) {
+        json it = sample();
+        auto& action = it["listeners"][0]["rule-set"][1]["action"];
+        action["traffic-split"] = parts;
+        if (!beside.is_null()) {
+            action["service"] = beside;
+        }
+        const auto all = compiled(it);
+        return all ? all->routes.at({only_team(), "r-2"}).split
+                   : std::vector<config::split_part>();
+    };
+    const auto part = [](const std::string& service, double weight) {
+        return json{{"service", service}, {"weight", weight}};
+    };
+    EXPECT_TRUE(split_into({part("one", -5), part("one", 10)}).empty());
+    EXPECT_TRUE(split_into({part("one", 10), part("one", -5)}).empty());
+    EXPECT_TRUE(split_into({part("one", 10)}, "none").empty());
+    EXPECT_TRUE(split_into({part("one", 10), part("none", 1)}).empty());
+    EXPECT_TRUE(split_into(json::array()).empty());
+    const auto sums =
+        split_into({part("one", 5), part("two", 1), part("one", 10)}, "two");
+    ASSERT_EQ(sums.size(), 2U);
+    EXPECT_EQ(sums[0].weight, 15);
+    EXPECT_EQ(sums[1].weight, 1);
+}
+
 json listener(const std::string& host, const json& rules)
 {
     return {{"host", host}, {"rule-set", rules}};
--- a/tests/soak/upgrade_test.cpp
+++ b/tests/soak/upgrade_test.cpp
@@ -48,6 +48,11 @@
     }
     const nlohmann::json out = {
         {"version", absl::StrCat("r", number)},
+        {"limits",
+         {{"max-header-bytes", 16384},
+          {"max-body-bytes", 67108864},
+          {"header-timeout-ms", 3000},
+          {"idle-timeout-ms", 15000}}},
         {"listeners", {{{"host", "soak.example"}, {"rule-set", rules}}}},
         {"clusters",
          {{{"name", "soak"}, {"health-path", "/health"}, {"max-connections", 50}}}}};
