--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -6,6 +6,7 @@
 
 #include "cuminpitch/config/compile.hpp"
 
+#include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -192,7 +193,7 @@
             names.push_back(name);
         }
         for (const auto& name : names) {
-            const auto at = path.empty() ? name : path + "." + name;
+            const auto at = absl::StrCat(path, path.empty() ? "" : ".", name);
             visit(from, name, at);
             visit_members(from.at(name), at, visit);
         }
--- a/tests/request/reroute_test.cpp
+++ b/tests/request/reroute_test.cpp
@@ -2,6 +2,7 @@
 
 #include "fixture.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 
@@ -60,10 +61,10 @@
     }
     static std::vector<request_id> requests_of(const std::vector<start_attempt>& sent)
     {
-        std::vector<request_id> out;
-        for (const auto& it : sent) {
-            out.push_back(it.send.request);
-        }
+        std::vector<request_id> out(sent.size());
+        std::transform(sent.begin(), sent.end(), out.begin(), [](const auto& it) {
+            return it.send.request;
+        });
         return out;
     }
 
