Don't start a frozen entry again in the random schedules

Cause: fleet_schedule took an entry without a revision for one whose process had ended. One that is frozen right after its start has none either, and starting it again aborts the test. The debugger showed entry 3 frozen, with a node, 2.6 s after its start. Change: the schedule asks whether the process exists. All other cases act as before, so the schedules are as strict.

--- a/tests/session/schedule.cpp
+++ b/tests/session/schedule.cpp
@@ -170,7 +170,8 @@
         if (fleet_.is_running(i)) {
             fleet_.crash_entry(i);
         }
-        if (fleet_.revision(i) == core::revision()) {
+        // One that is frozen goes on when it is thawed, also if it has no state yet.
+        if (!fleet_.has_process(i)) {
             fleet_.start_entry(i);
         }
     });
--- a/tests/support/memory_fleet.cpp
+++ b/tests/support/memory_fleet.cpp
@@ -404,6 +404,11 @@
     return entries_[i]->node && !entries_[i]->frozen;
 }
 
+bool memory_fleet::has_process(std::size_t i) const
+{
+    return entries_[i]->node != nullptr;
+}
+
 core::revision memory_fleet::revision(std::size_t i) const
 {
     return entries_[i]->node ? entries_[i]->node->revision() : core::revision();
--- a/tests/support/memory_fleet.hpp
+++ b/tests/support/memory_fleet.hpp
@@ -116,6 +116,8 @@
     const control::entry_record& entry(std::size_t i) const;
     /// True if the entry has been started and is neither stopped nor frozen.
     bool is_running(std::size_t i) const;
+    /// True also while the entry is frozen.
+    bool has_process(std::size_t i) const;
     core::revision revision(std::size_t i) const;
     std::uint64_t incarnation(std::size_t i) const;
     /// Body of GET /.cuminpitch/v1/status, asked without the simulated network. Empty if
