Move arrivals of the dispatcher to a file of their own

Change: what a request passes on arrival, and when it is routed again, is in dispatcher_arrivals.cpp.

--- a/src/request/dispatcher_impl_priv.hpp
+++ b/src/request/dispatcher_impl_priv.hpp
@@ -17,8 +17,9 @@
 /// The connection of an attempt for the log, and which part of its response did not fit.
 std::vector<telemetry::field> connection_fields(const http::client_result& it);
 
-/// Implementation of dispatcher. Arrivals, queues and events are in dispatcher.cpp,
-/// attempts and retries in dispatcher_attempts.cpp, responses and refusals to callers in
+/// Implementation of dispatcher. Arrivals, and requests that are routed again, are in
+/// dispatcher_arrivals.cpp, queues and events in dispatcher.cpp, attempts and retries in
+/// dispatcher_attempts.cpp, responses and refusals to callers in
 /// dispatcher_responses.cpp.
 class dispatcher::impl
 {
