Look a finished request up once

Cause: erase_request() found the request in the table and remove_request() searched it again, for each request that ends. Change: remove_request() takes the place that was found. Result: request_test passes (256 tests, without the known red one).

--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -382,17 +382,16 @@
 {
     const auto found = live_.find(it.id);
     if (found != live_.end() && found->second.get() == &it) {
-        remove_request(it);
+        remove_request(found);
     }
 }
 
-dispatcher::impl::live_ptr dispatcher::impl::remove_request(const live_request& it)
+dispatcher::impl::live_ptr dispatcher::impl::remove_request(live_map::iterator at)
 {
-    timers_.erase({it.timer_at, it.id});
-    teams_.remove(it.pool->id.team);
-    const auto found = live_.find(it.id);
-    live_ptr out = std::move(found->second);
-    live_.erase(found);
+    live_ptr out = std::move(at->second);
+    live_.erase(at);
+    timers_.erase({out->timer_at, out->id});
+    teams_.remove(out->pool->id.team);
     return out;
 }
 
--- a/src/request/dispatcher_arrivals.cpp
+++ b/src/request/dispatcher_arrivals.cpp
@@ -101,7 +101,7 @@
 {
     const core::pool_id from = it.pool->id;
     const core::revision before = it.declared;
-    live_ptr request = remove_request(it);
+    live_ptr request = remove_request(live_.find(it.id));
     it.at = live_request::phase::arriving;
     auto why = check(it);
     if (is_pool_removed(it)) {
--- a/src/request/dispatcher_impl_priv.hpp
+++ b/src/request/dispatcher_impl_priv.hpp
@@ -48,6 +48,7 @@
 
 private:
     using live_ptr = std::unique_ptr<live_request>;
+    using live_map = absl::flat_hash_map<request_id, live_ptr>;
 
     void on(request_received it);
     void on(attempt_finished it);
@@ -124,7 +125,7 @@
     void end_attempt(live_request& it);
     void set_timer(live_request& it, absl::Time timer_at);
     void erase_request(live_request& it);
-    live_ptr remove_request(const live_request& it);
+    live_ptr remove_request(live_map::iterator at);
     pool_state* pool_of(const live_request& it) const;
     void erase_removed(const core::pool_id& id);
     telemetry::labels pool_label(const live_request& it) const;
@@ -151,7 +152,7 @@
     absl::btree_map<core::team_id, std::size_t> pools_of_team_;
     team_shares teams_;
 
-    absl::flat_hash_map<request_id, live_ptr> live_;
+    live_map live_;
     absl::flat_hash_map<attempt_id, request_id> attempts_;
     /// Requests that are forwarded now, by entry.
     absl::flat_hash_map<core::instance_id, std::size_t> forwarded_;
