Let queue_response() add the field that closes a connection

Cause: three places of the server on libmicrohttpd set Connection: close before they queue a response. Change: queue_response() has a parameter for it; microhttpd_server::refuse() is gone.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -116,7 +116,6 @@
     bool hold(incoming& it, std::size_t body_bytes);
     MHD_Result finish(MHD_Connection* connection, incoming& it);
     void refuse_body(incoming& it, refusal why);
-    MHD_Result refuse(MHD_Connection* connection, const refusal& why, bool is_head) const;
 
     const server_options options_;
     const handler handler_;
@@ -280,9 +279,11 @@
         connection, MHD_HEADER_KIND, &add_header, &message.headers);
     if (!split_target(message) || !has_unambiguous_framing(message.headers)) {
         it.handled = true;
-        auto answer = refusal_response(not_run_refusal(400, "malformed-request"));
-        answer.headers.set("Connection", "close");
-        return queue_response(connection, std::move(answer), it.is_head);
+        return queue_response(
+            connection,
+            refusal_response(not_run_refusal(400, "malformed-request")),
+            it.is_head,
+            true);
     }
     const std::string length = message.headers.get("Content-Length");
     const auto announced = std::strtoull(length.c_str(), nullptr, 10);
@@ -344,23 +345,14 @@
     if (!it.handled) {
         it.handled = true;
         if (it.refused) {
-            return refuse(connection, *it.refused, it.is_head);
+            return queue_response(
+                connection, refusal_response(*it.refused), it.is_head, is_draining_);
         }
         handler_(std::move(it.message), it.exchange);
     }
     return it.exchange->respond_or_suspend(it.is_head, is_draining_);
 }
 
-MHD_Result microhttpd_server::refuse(
-    MHD_Connection* connection, const refusal& why, bool is_head) const
-{
-    auto it = refusal_response(why);
-    if (is_draining_) {
-        it.headers.set("Connection", "close");
-    }
-    return queue_response(connection, std::move(it), is_head);
-}
-
 void microhttpd_server::refuse_body(incoming& it, refusal why)
 {
     it.refused = std::move(why);
--- a/src/http/suspended_exchange.cpp
+++ b/src/http/suspended_exchange.cpp
@@ -57,8 +57,12 @@
     MHD_Connection* connection,
     response it,
     bool is_head,
+    bool closes,
     std::optional<std::size_t> cut_after)
 {
+    if (closes) {
+        it.headers.set("Connection", "close");
+    }
     const std::uint64_t size = announced_size(it, is_head);
     const std::size_t end = std::min(cut_after.value_or(it.body.size()), it.body.size());
     auto source = std::make_unique<body_source>(body_source{std::move(it.body), end});
@@ -174,11 +178,8 @@
         if (!answer_.message) {
             return MHD_NO;
         }
-        if (closes) {
-            answer_.message->headers.set("Connection", "close");
-        }
         return queue_response(
-            connection_, std::move(*answer_.message), is_head, answer_.cut_after);
+            connection_, std::move(*answer_.message), is_head, closes, answer_.cut_after);
     }
     if (!watcher_.add(socket_, id_, shared_from_this())) {
         return MHD_NO;
--- a/src/http/suspended_exchange_priv.hpp
+++ b/src/http/suspended_exchange_priv.hpp
@@ -57,12 +57,13 @@
     std::function<void()> disconnect_callback_;
 };
 
-/// Queues the response. With `cut_after` the connection closes after that many bytes of
-/// the body.
+/// Queues the response. With `closes` the connection closes after it, with `cut_after`
+/// after that many bytes of the body.
 MHD_Result queue_response(
     MHD_Connection* connection,
     response it,
     bool is_head,
+    bool closes,
     std::optional<std::size_t> cut_after = std::nullopt);
 
 } // namespace cuminpitch::http
