Compare the declarations of two views once

Cause: apply_view() and drop_undeclared_pools() made the same comparison. Change: apply_view() decides, drop_undeclared_pools() takes the earlier view by reference.

--- a/src/entry/node_impl_priv.hpp
+++ b/src/entry/node_impl_priv.hpp
@@ -181,7 +181,7 @@
         std::vector<telemetry::field> fields = {});
 
     void apply_view();
-    void drop_undeclared_pools(const control::fleet_view* previous);
+    void drop_undeclared_pools(const control::fleet_view& previous);
     /// True if the settings or the assignment of a pool that this entry does not serve
     /// differ between `previous` and the current view. Unaffected pools are skipped
     /// because updating all pools of a fleet of the target size takes longer than the
--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -103,7 +103,9 @@
         return;
     }
     const auto previous = std::exchange(view_, link_.replica().view());
-    if (!previous || previous->declarations != view_->declarations) {
+    const bool same_declarations =
+        previous && previous->declarations == view_->declarations;
+    if (!same_declarations) {
         declared_ = view_->revision;
         routes_ = std::make_shared<const request::route_table>(
             view_->declarations, options_.dialect.paths);
@@ -128,16 +130,15 @@
             update_pool(declared);
         }
     }
-    drop_undeclared_pools(previous.get());
+    if (previous && !same_declarations) {
+        drop_undeclared_pools(*previous);
+    }
 }
 
 /// Must follow the updates of the pools that are declared: waiting requests move there.
-void node::impl::drop_undeclared_pools(const control::fleet_view* previous)
+void node::impl::drop_undeclared_pools(const control::fleet_view& previous)
 {
-    if (previous == nullptr || previous->declarations == view_->declarations) {
-        return;
-    }
-    for (const auto& [id, declared] : previous->declarations->pools) {
+    for (const auto& [id, declared] : previous.declarations->pools) {
         if (!view_->declarations->pools.contains(id)) {
             pools_.erase(id);
             shared_pools_.erase(id);
