Share the change of declarations among the tests of the dispatcher

Cause: reroute_test and two tests in key_test each put declarations with a moved pool in force. Change: dispatcher_test::declare() and redirect(). It also counts the responses of the removal, which the tests in key_test didn't; no assertion is dropped.

--- a/tests/request/fixture.hpp
+++ b/tests/request/fixture.hpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -11,6 +13,8 @@
 
 inline const core::pool_id pool_p{core::team_id("a"), "p"};
 inline const core::pool_id pool_q{core::team_id("b"), "q"};
+/// Not declared by two_teams().
+inline const core::pool_id pool_n{core::team_id("a"), "n"};
 
 /// Two teams: routes /read (idempotent) and /order of a/p, /other of b/q.
 inline std::shared_ptr<config::declarations> two_teams()
@@ -100,6 +104,36 @@
         return count_responses(entry->update_pool(now, it));
     }
 
+    /// Puts changed declarations without the pool `removed` in force. Each pool of its
+    /// team has `servers` servers of `slots` slots then. Returns the actions of the
+    /// removal.
+    std::vector<action> declare(
+        const std::function<void(config::declarations&)>& change,
+        const core::pool_id& removed = pool_p,
+        int servers = 1,
+        unsigned slots = 8)
+    {
+        declared = std::make_shared<config::declarations>(*declared);
+        declared->pools.erase(removed);
+        change(*declared);
+        entry->set_routes(std::make_shared<route_table>(declared));
+        for (const auto& [id, settings] : declared->pools) {
+            if (id.team == removed.team) {
+                serve(id, servers, slots);
+            }
+        }
+        return count_responses(entry->remove_pool(now, removed));
+    }
+    /// Declares `to`, to which the routes of `from` lead.
+    static void redirect(
+        config::declarations& all, const core::pool_id& from, const core::pool_id& to)
+    {
+        all.pools[to].id = to;
+        for (auto& [id, route] : all.routes) {
+            route.pool = route.pool == from ? to : route.pool;
+        }
+    }
+
     /// Assigns a/p to the entries e1 and e2 and no longer to this one.
     std::vector<action> serve_elsewhere()
     {
--- a/tests/request/key_test.cpp
+++ b/tests/request/key_test.cpp
@@ -158,17 +158,11 @@
     with_key("Bearer k-1");
     with_key("Bearer k-1");
     with_key("Bearer k-1");
-    const core::pool_id pool_n{pool_p.team, "n"};
-    declared = std::make_shared<config::declarations>(*declared);
-    declared->pools.erase(pool_p);
-    declared->pools[pool_n].id = pool_n;
-    for (auto& [id, route] : declared->routes) {
-        route.pool = route.pool == pool_p ? pool_n : route.pool;
-    }
-    declared->customers.begin()->second.keys = {"k-3"};
-    entry->set_routes(std::make_shared<route_table>(declared));
-    serve(pool_n, 1);
-    expect_refusal(entry->remove_pool(now, pool_p), refusal_reason::unknown_key);
+    const auto moved = declare([](config::declarations& it) {
+        redirect(it, pool_p, pool_n);
+        it.customers.begin()->second.keys = {"k-3"};
+    });
+    expect_refusal(moved, refusal_reason::unknown_key);
 }
 
 /// As key_test, with a rate.
@@ -235,17 +229,9 @@
 // against a second permit that is charged to the customer for the move.
 TEST_F(rate_test, request_that_moves_keeps_its_permit)
 {
-    const core::pool_id pool_n{pool_p.team, "n"};
     const auto move = [&](const core::pool_id& from, const core::pool_id& to) {
-        declared = std::make_shared<config::declarations>(*declared);
-        declared->pools.erase(from);
-        declared->pools[to].id = to;
-        for (auto& [id, route] : declared->routes) {
-            route.pool = route.pool == from ? to : route.pool;
-        }
-        entry->set_routes(std::make_shared<route_table>(declared));
-        serve(to, 1);
-        return entry->remove_pool(now, from);
+        return declare(
+            [&](config::declarations& it) { redirect(it, from, to); }, from, 1, 1);
     };
     with_key("Bearer k-1");
     EXPECT_TRUE(move(pool_p, pool_n).empty());
--- a/tests/request/reroute_test.cpp
+++ b/tests/request/reroute_test.cpp
@@ -3,13 +3,11 @@
 #include "fixture.hpp"
 
 #include <algorithm>
-#include <functional>
 #include <map>
 
 namespace cuminpitch::request {
 namespace {
 
-const core::pool_id pool_n{core::team_id("a"), "n"};
 const core::pool_id pool_m{core::team_id("a"), "m"};
 
 class reroute_test : public dispatcher_test
@@ -17,9 +15,10 @@
 protected:
     /// Puts declarations in force in which the routes of a/p lead to `split`, and a/p is
     /// not declared. Returns the actions of the removal.
-    std::vector<action> move_routes(const std::vector<config::split_part>& split)
+    std::vector<action>
+    move_routes(const std::vector<config::split_part>& split, unsigned slots = 8)
     {
-        return declare([&](config::declarations& all) {
+        const auto change = [&](config::declarations& all) {
             for (auto& [id, route] : all.routes) {
                 if (id.team != pool_p.team) {
                     continue;
@@ -31,27 +30,8 @@
             for (const auto& part : split) {
                 all.pools[part.pool].id = part.pool;
             }
-        });
-    }
-    /// Puts changed declarations without the pool `removed` in force.
-    std::vector<action> declare(
-        const std::function<void(config::declarations&)>& change,
-        const core::pool_id& removed = pool_p)
-    {
-        declared = std::make_shared<config::declarations>(*declared);
-        declared->pools.erase(removed);
-        change(*declared);
-        entry->set_routes(std::make_shared<route_table>(declared));
-        for (const auto& [id, settings] : declared->pools) {
-            if (id.team == pool_p.team) {
-                serve(id, servers, slots);
-            }
-        }
-        auto out = entry->remove_pool(now, removed);
-        for (const auto& each : all<refuse>(out)) {
-            EXPECT_EQ(++response_counts[each.request], 1);
-        }
-        return out;
+        };
+        return declare(change, pool_p, 1, slots);
     }
     /// Occupies both servers of a/p. Returns the attempts.
     std::vector<start_attempt> fill(const std::string& path = "/order")
@@ -67,9 +47,6 @@
         });
         return out;
     }
-
-    unsigned slots = 8;
-    int servers = 1;
 };
 
 // Guards against a final 404 for requests whose route exists: review/7 had 24 of 40
@@ -132,18 +109,11 @@
     from("x");
     from("y");
     const auto waiting = last;
-    slots = 1;
-    const auto moved = move_routes({{pool_n, 1}});
+    const auto moved = move_routes({{pool_n, 1}}, 1);
     EXPECT_TRUE(all<refuse>(moved).empty());
     only<start_attempt>(moved);
     const auto again = declare(
-        [](config::declarations& it) {
-            it.pools[pool_m].id = pool_m;
-            for (auto& [id, route] : it.routes) {
-                route.pool = route.pool == pool_n ? pool_m : route.pool;
-            }
-        },
-        pool_n);
+        [](config::declarations& it) { redirect(it, pool_n, pool_m); }, pool_n, 1, 1);
     EXPECT_EQ(only<start_attempt>(again).send.request, waiting);
 }
 
@@ -154,11 +124,8 @@
     from("x");
     advance(absl::Seconds(3));
     const auto refused = declare([](config::declarations& it) {
-        it.pools[pool_n].id = pool_n;
-        auto& route = it.routes.at({pool_p.team, "order"});
-        route.pool = pool_n;
-        route.deadline = absl::Seconds(2);
-        it.routes.at({pool_p.team, "read"}).pool = pool_n;
+        redirect(it, pool_p, pool_n);
+        it.routes.at({pool_p.team, "order"}).deadline = absl::Seconds(2);
     });
     expect_refusal(refused, refusal_reason::deadline_passed);
 }
@@ -190,19 +157,18 @@
 // new route is not idempotent, and against more attempts than the new route allows.
 TEST_F(reroute_test, failed_attempt_is_repeated_as_the_new_route_allows)
 {
-    servers = 3; // One of them has the id of the server that failed.
+    constexpr int servers = 3; // One of them has the id of the server that failed.
     const auto outcome = [&](bool is_idempotent, std::uint32_t max_attempts) {
         declared = two_teams();
         restart({});
         const auto sent = only<start_attempt>(from("x", "/read"));
-        declare([&](config::declarations& it) {
-            it.pools[pool_n].id = pool_n;
+        const auto change = [&](config::declarations& it) {
+            redirect(it, pool_p, pool_n);
             auto& route = it.routes.at({pool_p.team, "read"});
-            route.pool = pool_n;
             route.idempotent = is_idempotent;
             route.max_attempts = max_attempts;
-            it.routes.erase({pool_p.team, "order"});
-        });
+        };
+        declare(change, pool_p, servers);
         return finish(sent.send.attempt, reset_after_send());
     };
     EXPECT_EQ(only<start_attempt>(outcome(true, 2)).pool, pool_n);
