--- a/src/control/node_impl_priv.hpp
+++ b/src/control/node_impl_priv.hpp
@@ -22,7 +22,8 @@
 namespace cuminpitch::control {
 
 /// The implementation of node. API calls are in node_calls.cpp, operator requests in
-/// node_operator.cpp, and the rest in node.cpp.
+/// node_operator.cpp, the members of the group in node_members.cpp, and the rest in
+/// node.cpp.
 class node::impl
 {
 public:
--- /dev/null
+++ b/src/control/node_members.cpp
@@ -0,0 +1,196 @@
+// Membership of the group of control instances.
+
+#include "control/node_impl_priv.hpp"
+
+#include "cuminpitch/wire/group_codec.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace cuminpitch::control {
+
+void node::impl::receive(const net::peer& from, const group_hello& it)
+{
+    directory_.receive(now_, from, it);
+    if (!options_.admits_members) {
+        return;
+    }
+    discovered_[from.internal] = now_;
+    for (const auto& endpoint : it.known) {
+        discovered_[endpoint] = now_;
+    }
+}
+
+void node::impl::send_hellos()
+{
+    const auto group_endpoints =
+        options_.admits_members ? member_endpoints() : std::vector<core::endpoint>();
+    for (const auto& peer : known_instances()) {
+        const auto* known = directory_.at(peer);
+        group_hello it;
+        it.identity = options_.identity;
+        it.id = options_.id;
+        it.http = options_.http;
+        it.failure_domain = options_.failure_domain;
+        it.revision = state_.revision();
+        if (!replica_->members().empty()) {
+            it.group = consensus::group_of(replica_->members());
+        }
+        it.clock = now_;
+        if (known != nullptr) {
+            it.echo = known->clock;
+        }
+        it.known = group_endpoints;
+        actions_.emplace_back(action::send_frame{
+            peer, net::frame{net::channel::group, wire::encode(group_message(it))}});
+    }
+}
+
+/// A known instance that returns with a new identity has lost its disk. It is added as a
+/// learner and replaces the voter with its old identity once it has caught up. With
+/// `admits_members` an instance with an unknown name is added as well and replaces no
+/// voter.
+void node::impl::reconcile_members()
+{
+    if (!is_leader()) {
+        return;
+    }
+    if (options_.admits_members) {
+        remove_silent_voter();
+    }
+    for (const auto& [internal, it] : directory_.instances()) {
+        const auto& members = replica_->members();
+        const bool is_present = now_ - it.last_heard < 4 * options_.hello_interval;
+        // The initial voters know each other only by endpoint, so it serves as the name.
+        const auto name =
+            options_.admits_members ? core::instance_id(internal.str()) : it.id;
+        const bool is_known =
+            options_.admits_members || members.find_voter(name) != nullptr;
+        if (!is_present || members.is_voter(it.identity) || !is_known) {
+            continue;
+        }
+        const auto* learner = members.find(it.identity);
+        const consensus::member joining{
+            it.identity, name, internal, consensus::member_role::learner};
+        const auto change =
+            learner == nullptr ? consensus::member_change(consensus::add_learner{joining})
+                               : consensus::promote_learner{it.identity};
+        // Rejected while another change is in flight or the learner lags; retried at the
+        // next hello.
+        if (replica_->change_members(now_, change)) {
+            log(telemetry::severity::info,
+                learner == nullptr ? "adding learner" : "replacing voter",
+                {{"id", it.id.str()}, {"identity", it.identity.str()}});
+            return;
+        }
+    }
+}
+
+/// Returns the time of the last message from a voter. Hellos count too, so that a new
+/// leader knows how long a voter has been silent.
+absl::Time node::impl::last_heard(const consensus::member& it) const
+{
+    if (it.id == options_.identity) {
+        return now_;
+    }
+    const auto* known = directory_.at(it.internal);
+    const bool is_same = known != nullptr && known->identity == it.id;
+    return std::max(
+        {replica_->last_contact(it.id).value_or(absl::InfinitePast()),
+         is_same ? known->last_heard : absl::InfinitePast(),
+         started_});
+}
+
+/// Removes a voter without contact, since one that never returns would count towards
+/// every majority. At least three voters must be in contact, so that the group still
+/// tolerates the loss of one.
+void node::impl::remove_silent_voter()
+{
+    constexpr std::size_t min_voters = 3;
+    // A new leader has heard from the voters that are in contact with it by then.
+    constexpr absl::Duration settling_time = absl::Seconds(1);
+    if (now_ < leader_since_ + settling_time) {
+        return;
+    }
+    std::size_t present = 0;
+    const consensus::member* silent = nullptr;
+    for (const auto& it : replica_->members().members()) {
+        if (it.role != consensus::member_role::voter) {
+            continue;
+        }
+        present += now_ - last_heard(it) < absl::Seconds(1) ? 1 : 0;
+        if (silent == nullptr || last_heard(it) < last_heard(*silent)) {
+            silent = &it;
+        }
+    }
+    const bool is_surplus = replica_->members().voter_count() % 2 == 0;
+    const auto timeout =
+        is_surplus ? options_.surplus_voter_timeout : options_.silent_voter_timeout;
+    if (silent == nullptr || now_ - last_heard(*silent) < timeout ||
+        present < min_voters) {
+        return;
+    }
+    const consensus::member removed = *silent;
+    if (replica_->change_members(now_, consensus::remove_member{removed.id})) {
+        log(telemetry::severity::warning,
+            "removing silent voter",
+            {{"id", removed.name.str()},
+             {"identity", removed.id.str()},
+             {"silent_ms", absl::ToInt64Milliseconds(now_ - last_heard(removed))}});
+    }
+}
+
+std::vector<core::endpoint> node::impl::member_endpoints() const
+{
+    std::vector<core::endpoint> result;
+    for (const auto& it : replica_->members().members()) {
+        result.push_back(it.internal);
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+/// Returns all instances to send hellos to: the configured peers and, with
+/// `admits_members`, the members and the instances that others named recently.
+std::vector<core::endpoint> node::impl::known_instances() const
+{
+    constexpr absl::Duration discovery_timeout = absl::Seconds(60);
+    auto result = options_.peers;
+    if (options_.admits_members) {
+        const auto members = member_endpoints();
+        result.insert(result.end(), members.begin(), members.end());
+        for (const auto& [endpoint, when] : discovered_) {
+            if (now_ - when < discovery_timeout) {
+                result.push_back(endpoint);
+            }
+        }
+        std::sort(result.begin(), result.end());
+        result.erase(std::unique(result.begin(), result.end()), result.end());
+        std::erase(result, options_.internal);
+    }
+    return result;
+}
+
+std::string node::impl::silent_voters() const
+{
+    std::string out;
+    for (const auto& it : replica_->members().members()) {
+        if (it.role != consensus::member_role::voter || it.id == options_.identity) {
+            continue;
+        }
+        const auto* known = directory_.at(it.internal);
+        const bool is_same = known != nullptr && known->identity == it.id;
+        if (is_same && now_ - known->last_heard < absl::Seconds(1)) {
+            continue;
+        }
+        const std::string silent =
+            is_same
+                ? absl::StrCat(absl::ToInt64Milliseconds(now_ - known->last_heard), "ms")
+                : "never";
+        absl::StrAppend(&out, out.empty() ? "" : ",", it.internal.str(), "=", silent);
+    }
+    return out;
+}
+
+} // namespace cuminpitch::control
