Log the size of the control group, ignored hellos, and when a leader has its state

New lines: group size (leader, on each change), hellos ignored, leader has the state. New metrics: cuminpitch_bearable_losses and cuminpitch_ignored_hellos_total. No decision changes.

--- a/src/control/group_directory.cpp
+++ b/src/control/group_directory.cpp
@@ -4,13 +4,15 @@
 
 namespace cuminpitch::control {
 
-void group_directory::receive(
+bool group_directory::receive(
     absl::Time now, const net::peer& from, const group_hello& it)
 {
     auto& known = instances_[from.internal];
     if (known.identity == it.identity && it.clock < known.clock) {
-        return;
+        ++known.ignored_hellos;
+        return false;
     }
+    known.ignored_hellos = 0;
     if (known.identity != it.identity) {
         known.last_echoed = absl::InfinitePast();
     }
@@ -27,6 +29,7 @@
     if (it.echo && *it.echo <= now) {
         known.last_echoed = std::max(known.last_echoed, *it.echo);
     }
+    return true;
 }
 
 const group_directory::instance* group_directory::at(const core::endpoint& internal) const
--- a/src/control/group_directory_priv.hpp
+++ b/src/control/group_directory_priv.hpp
@@ -6,6 +6,7 @@
 #include <absl/container/btree_map.h>
 #include <absl/time/time.h>
 
+#include <cstddef>
 #include <optional>
 
 namespace cuminpitch::control {
@@ -23,13 +24,15 @@
         consensus::group_id group;
         core::revision revision;
         absl::Time clock;
+        std::size_t ignored_hellos = 0; ///< Since the last one that was not ignored.
         /// The time at which the newest hello arrived, and the newest reading of this
         /// process's clock that the instance has echoed.
         absl::Time last_heard = absl::InfinitePast();
         absl::Time last_echoed = absl::InfinitePast();
     };
 
-    void receive(absl::Time now, const net::peer& from, const group_hello& it);
+    /// Returns false if the hello is older than one received before.
+    bool receive(absl::Time now, const net::peer& from, const group_hello& it);
 
     /// The known instances by internal endpoint.
     const absl::btree_map<core::endpoint, instance>& instances() const
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -99,6 +99,8 @@
         reconcile_members();
     }
     log_leader_absence();
+    log_group_size();
+    log_applied_state();
     tick_controller();
     expire_proposals();
     expire_calls();
@@ -285,6 +287,7 @@
         ++n;
         apply(next);
     }
+    applied_since_elected_ += n;
     if (n > 0) {
         log_reached_limits();
         propose_next_document();
@@ -351,6 +354,8 @@
         controller_.emplace(options_.controller, assign::rendezvous(), now_);
         confirmations_ = {};
         leader_since_ = now_;
+        has_decided_ = false;
+        applied_since_elected_ = 0;
     } else {
         fail_calls();
         controller_.reset();
@@ -460,6 +465,21 @@
          {"silent_voters", silent_voters()}});
 }
 
+/// Logs when a new leader has applied everything that was committed before its term.
+void node::impl::log_applied_state()
+{
+    if (has_decided_ || !can_decide()) {
+        return;
+    }
+    has_decided_ = true;
+    log(telemetry::severity::info,
+        "leader has the state",
+        {{"term", static_cast<std::int64_t>(replica_->term().value())},
+         {"after_ms", absl::ToInt64Milliseconds(now_ - leader_since_)},
+         {"applied", static_cast<std::int64_t>(applied_since_elected_)},
+         {"revision", static_cast<std::int64_t>(state_.revision().value())}});
+}
+
 void node::impl::respond(core::request_id id, http::response it)
 {
     actions_.emplace_back(action::respond{id, std::move(it)});
--- a/src/control/node_impl_priv.hpp
+++ b/src/control/node_impl_priv.hpp
@@ -5,6 +5,7 @@
 #include "control/deferred_announcements_priv.hpp"
 #include "control/entry_roster_priv.hpp"
 #include "control/group_directory_priv.hpp"
+#include "control/group_size_priv.hpp"
 #include "control/leader_absence_priv.hpp"
 #include "control/operator_api_priv.hpp"
 #include "control/sync_clients_priv.hpp"
@@ -90,6 +91,9 @@
     void redirect_to_leader(core::request_id id);
     void log_unanswered_read(const char* reason, absl::Duration waited);
     void log_leader_absence();
+    group_size size() const;
+    void log_group_size();
+    void log_applied_state();
     /// Voters without a message within a second, each with the time since the last one.
     std::string silent_voters() const;
     void answer(core::request_id id, api_answer it);
@@ -103,6 +107,7 @@
     bool can_confirm(const sync_request& it);
     void answer_report(const sync_request& it, const core::endpoint& to, bool confirmed);
     void confirm_relayed(const sync_request& it);
+    void log_ignored_hello(const net::peer& from, const group_hello& it);
     void send_hellos();
     void reconcile_members();
     void remove_silent_voter();
@@ -204,6 +209,10 @@
     absl::Time started_ = absl::InfiniteFuture();
     absl::Time leader_since_ = absl::InfiniteFuture();
     leader_absence leader_absence_;
+    group_size logged_size_;
+    /// Whether the state was complete since this instance leads.
+    bool has_decided_ = false;
+    std::size_t applied_since_elected_ = 0;
     absl::Time next_member_change_ = absl::InfinitePast();
     /// Control instances that sent a hello or were named in one, with the time of the
     /// newest one.
--- a/src/control/node_members.cpp
+++ b/src/control/node_members.cpp
@@ -7,12 +7,15 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace cuminpitch::control {
 
 void node::impl::receive(const net::peer& from, const group_hello& it)
 {
-    directory_.receive(now_, from, it);
+    if (!directory_.receive(now_, from, it)) {
+        log_ignored_hello(from, it);
+    }
     if (!options_.admits_members) {
         return;
     }
@@ -22,6 +25,21 @@
     }
 }
 
+/// Logs the first of several ignored hellos: a single one was overtaken on its way.
+void node::impl::log_ignored_hello(const net::peer& from, const group_hello& it)
+{
+    metrics_.add("cuminpitch_ignored_hellos_total");
+    const auto* known = directory_.at(from.internal);
+    constexpr std::size_t logged_count = 2;
+    if (known->ignored_hellos == logged_count) {
+        log(telemetry::severity::warning,
+            "hellos ignored",
+            {{"id", it.id.str()},
+             {"identity", it.identity.str()},
+             {"clock_behind_ms", absl::ToInt64Milliseconds(known->clock - it.clock)}});
+    }
+}
+
 void node::impl::send_hellos()
 {
     const auto group_endpoints =
@@ -172,6 +190,34 @@
     return result;
 }
 
+group_size node::impl::size() const
+{
+    constexpr absl::Duration contact_time = absl::Seconds(2);
+    group_size out;
+    out.voters = replica_->members().voter_count();
+    for (const auto& it : replica_->members().members()) {
+        const bool is_voter = it.role == consensus::member_role::voter;
+        out.learners += is_voter ? 0 : 1;
+        out.in_contact += is_voter && now_ - last_heard(it) < contact_time ? 1 : 0;
+    }
+    return out;
+}
+
+/// Logs the size of the group at its leader whenever it changes.
+void node::impl::log_group_size()
+{
+    const auto now = is_leader() ? size() : group_size();
+    if (std::exchange(logged_size_, now) == now || !is_leader()) {
+        return;
+    }
+    log(telemetry::severity::info,
+        "group size",
+        {{"voters", static_cast<std::int64_t>(now.voters)},
+         {"in_contact", static_cast<std::int64_t>(now.in_contact)},
+         {"learners", static_cast<std::int64_t>(now.learners)},
+         {"bearable_losses", static_cast<std::int64_t>(now.bearable_losses())}});
+}
+
 std::string node::impl::silent_voters() const
 {
     std::string out;
--- a/src/control/node_operator.cpp
+++ b/src/control/node_operator.cpp
@@ -58,17 +58,14 @@
 
 void node::impl::set_member_metrics()
 {
-    std::size_t silent = 0;
-    std::size_t learners = 0;
-    for (const auto& it : replica_->members().members()) {
-        const bool is_voter = it.role == consensus::member_role::voter;
-        learners += is_voter ? 0 : 1;
-        silent += is_voter && now_ - last_heard(it) >= absl::Seconds(2) ? 1 : 0;
-    }
-    metrics_.set(
-        "cuminpitch_voters", static_cast<double>(replica_->members().voter_count()));
-    metrics_.set("cuminpitch_silent_voters", static_cast<double>(silent));
-    metrics_.set("cuminpitch_learners", static_cast<double>(learners));
+    const auto group = size();
+    const auto set = [this](const char* name, std::size_t count) {
+        metrics_.set(name, static_cast<double>(count));
+    };
+    set("cuminpitch_voters", group.voters);
+    set("cuminpitch_silent_voters", group.voters - group.in_contact);
+    set("cuminpitch_learners", group.learners);
+    set("cuminpitch_bearable_losses", group.bearable_losses());
 }
 
 void node::impl::answer_request(const event::operator_request& it)
