Hear a control instance whose clock started anew

Callers could see an entry that obeys an old configuration, operators an instance that answers no read: an instance that lost power was ignored by the others and, once it had been removed as silent, never admitted again.

Cause: a hello with a lower clock than the newest one of the same identity counts as an older message. The clock starts anew with the machine, so in about half of all losses of power every later hello was ignored. The instance counted as silent since then, and a leader elected while it was away for a second removed it at once instead of after 15 s.

The simulated group had one clock for all and couldn't show it; its instances now have one each.

Change: a hello carries a random number of the start of its process. Clocks are compared within a start only. A hello without the number (an older release) is judged as before.

--- a/include/cuminpitch/control/group_message.hpp
+++ b/include/cuminpitch/control/group_message.hpp
@@ -21,7 +21,10 @@
     core::failure_domain_id failure_domain;
     consensus::group_id group; ///< Hash of the current members, 0 if in no group.
     core::revision revision;   ///< Revision of the sender's fleet state.
-    absl::Time clock;          ///< The sender's clock at sending.
+    /// Start of the sender whose clock this is. The clocks of two starts have no order,
+    /// as a clock starts anew with the machine.
+    core::start_id start;
+    absl::Time clock; ///< The sender's clock at sending.
     /// The newest clock reading that the sender has received from the receiver.
     std::optional<absl::Time> echo;
     /// Internal endpoints of the control instances that the sender knows, so that an
--- a/include/cuminpitch/control/node.hpp
+++ b/include/cuminpitch/control/node.hpp
@@ -27,6 +27,7 @@
 {
     core::instance_id id;
     consensus::member_id identity; ///< Identity of the data folder.
+    core::start_id start;          ///< Differs between all starts of an instance.
     core::endpoint http;
     core::endpoint internal;
     core::failure_domain_id failure_domain;
--- a/include/cuminpitch/core/ids.hpp
+++ b/include/cuminpitch/core/ids.hpp
@@ -74,6 +74,8 @@
 using term = integer_id<struct term_tag>;
 using log_index = integer_id<struct log_index_tag>;
 using request_id = integer_id<struct request_tag>;
+/// Random number of one start of a process.
+using start_id = integer_id<struct start_tag>;
 
 /// A name within a team's subtree of the settings.
 template <class Tag>
--- a/src/control/group_directory.cpp
+++ b/src/control/group_directory.cpp
@@ -8,12 +8,13 @@
     absl::Time now, const net::peer& from, const group_hello& it)
 {
     auto& known = instances_[from.internal];
-    if (known.identity == it.identity && it.clock < known.clock) {
+    const bool is_same_start = known.identity == it.identity && known.start == it.start;
+    if (is_same_start && it.clock < known.clock) {
         ++known.ignored_hellos;
         return false;
     }
     known.ignored_hellos = 0;
-    if (known.identity != it.identity) {
+    if (!is_same_start) {
         known.last_echoed = absl::InfinitePast();
     }
     known.identity = it.identity;
@@ -22,6 +23,7 @@
     known.failure_domain = it.failure_domain;
     known.group = it.group;
     known.revision = it.revision;
+    known.start = it.start;
     known.clock = it.clock;
     known.last_heard = now;
     // After a restart of the machine the monotonic clock starts again, so an echo of a
--- a/src/control/group_directory_priv.hpp
+++ b/src/control/group_directory_priv.hpp
@@ -23,6 +23,7 @@
         core::failure_domain_id failure_domain;
         consensus::group_id group;
         core::revision revision;
+        core::start_id start;
         absl::Time clock;
         std::size_t ignored_hellos = 0; ///< Since the last one that was not ignored.
         /// The time at which the newest hello arrived, and the newest reading of this
--- a/src/control/node_members.cpp
+++ b/src/control/node_members.cpp
@@ -55,6 +55,7 @@
         if (!replica_->members().empty()) {
             it.group = consensus::group_of(replica_->members());
         }
+        it.start = options_.start;
         it.clock = now_;
         if (known != nullptr) {
             it.echo = known->clock;
--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -307,6 +307,7 @@
     control::node_options options;
     options.id = settings_.id;
     options.identity = storage_->identity();
+    options.start = core::start_id(random_());
     options.http = settings_.http;
     options.internal = settings_.internal;
     options.failure_domain = settings_.failure_domain;
--- a/src/wire/group_codec.cpp
+++ b/src/wire/group_codec.cpp
@@ -31,7 +31,8 @@
         hello.revision.value(),
         absl::ToUnixMicros(hello.clock),
         hello.echo ? absl::ToUnixMicros(*hello.echo) : no_echo,
-        &known);
+        &known,
+        hello.start.value());
     return {group::body::hello, body.Union()};
 }
 
@@ -61,6 +62,7 @@
     result.failure_domain = core::failure_domain_id(hello.failure_domain()->str());
     result.group = consensus::group_id(hello.group());
     result.revision = core::revision(hello.revision());
+    result.start = core::start_id(hello.start());
     result.clock = absl::FromUnixMicros(hello.clock_us());
     if (hello.echo_us() != no_echo) {
         result.echo = absl::FromUnixMicros(hello.echo_us());
--- a/tests/control/group_simulation.cpp
+++ b/tests/control/group_simulation.cpp
@@ -5,6 +5,7 @@
 #include "cuminpitch/control/bootstrap.hpp"
 
 #include <algorithm>
+#include <random>
 
 namespace cuminpitch::control {
 namespace {
@@ -23,7 +24,7 @@
 
 group_simulation::group_simulation(
     std::size_t instances, std::size_t seed_count, std::uint64_t seed)
-    : seed_count_(seed_count), seed_(seed)
+    : seed_count_(seed_count), seed_(seed), clocks_(seed)
 {
     for (std::size_t i = 0; i < seed_count; ++i) {
         seeds_.push_back(endpoint_of(i, 1));
@@ -46,6 +47,7 @@
     node_options it;
     it.id = core::instance_id("core-" + std::to_string(i));
     it.identity = instances_[i]->identity;
+    it.start = core::start_id(instances_[i]->starts);
     it.internal = endpoint_of(i, 1);
     it.http = endpoint_of(i, 2);
     it.failure_domain = core::failure_domain_id("d" + std::to_string(i % domains));
@@ -80,11 +82,21 @@
     at(i).identity = consensus::member_id("disk-" + std::to_string(++last_identity_));
 }
 
+void group_simulation::lose_power(std::size_t i, std::size_t surviving)
+{
+    constexpr std::int64_t longest_uptime_s = 100'000;
+    stop(i);
+    at(i).storage->crash(surviving);
+    at(i).clock = absl::Seconds(
+        std::uniform_int_distribution<std::int64_t>(0, longest_uptime_s)(clocks_));
+}
+
 void group_simulation::start(std::size_t i)
 {
     auto& it = at(i);
     it.inbox.clear();
     it.busy_until = absl::InfinitePast();
+    ++it.starts;
     it.running = node::make(
         options(i),
         it.storage->load().value(),
@@ -94,7 +106,7 @@
         },
         core::random_source(i + seed_),
         metrics_,
-        now_);
+        time_at(i));
     ASSERT_NE(it.running, nullptr);
 }
 
@@ -182,7 +194,7 @@
 {
     at(i).responses.erase(it.entry.internal);
     at(i).running->handle(
-        now_,
+        time_at(i),
         event::frame_received{
             {it.entry.id, it.entry.internal},
             net::frame{net::channel::control, wire::encode(control::message(it))}});
@@ -202,11 +214,11 @@
     for (auto& [from, frame] : std::exchange(it.inbox, {})) {
         busy += entry_numbers_.contains(from) ? cost_.per_report : absl::ZeroDuration();
         it.running->handle(
-            now_,
+            time_at(i),
             event::frame_received{
                 {core::instance_id(from.str()), from}, std::move(frame)});
     }
-    it.running->handle(now_, event::tick{});
+    it.running->handle(time_at(i), event::tick{});
     auto actions = it.running->take_actions();
     busy += cost_.per_change * static_cast<double>(it.changes_applied - applied_before);
     busy += execute(i, std::move(actions));
--- a/tests/control/group_simulation.hpp
+++ b/tests/control/group_simulation.hpp
@@ -28,7 +28,7 @@
 };
 
 /// Simulates control instances that discover each other from seeds, and the entries that
-/// follow them, in one thread with one clock. Frames arrive after 1 ms.
+/// follow them, in one thread. Frames arrive after 1 ms.
 class group_simulation
 {
 public:
@@ -41,6 +41,9 @@
         std::unique_ptr<consensus::memory_storage> storage;
         consensus::member_id identity;
         std::unique_ptr<node> running; ///< Null while the instance is down.
+        std::uint64_t starts = 0;
+        /// Its clock is that of the simulation plus this.
+        absl::Duration clock;
         std::map<core::request_id, api_answer> answers;
         std::map<core::endpoint, sync_response> responses; ///< Last response by entry.
         /// Total bytes sent to each entry.
@@ -81,6 +84,9 @@
     void run_for(absl::Duration length);
     void start(std::size_t i);
     void stop(std::size_t i) { at(i).running.reset(); }
+    /// Stops the instance. Of its unsynced writes, the first `surviving` remain, and its
+    /// clock starts anew.
+    void lose_power(std::size_t i, std::size_t surviving = 0);
     void wipe(std::size_t i);
     /// Adds an instance at a new address, with an empty disk and running instances as its
     /// seeds. Returns its number.
@@ -88,6 +94,7 @@
     void cut_link(std::size_t a, std::size_t b);
     void heal() { cut_links_.clear(); }
     absl::Time now() const { return now_; }
+    absl::Time time_at(std::size_t i) const { return now_ + instances_[i]->clock; }
 
     instance& at(std::size_t i) { return *instances_[i]; }
     std::size_t size() const { return instances_.size(); }
@@ -108,7 +115,7 @@
     core::request_id send(std::size_t i, Call call)
     {
         call.id = core::request_id(++last_request_);
-        at(i).running->handle(now_, api_call(call));
+        at(i).running->handle(time_at(i), api_call(call));
         return call.id;
     }
     /// Makes the call and returns its answer if one arrives within the time.
@@ -178,6 +185,7 @@
     processing_cost cost_;
     memory_limits memory_ = memory_limits_for(0);
     std::uint64_t seed_;
+    core::random_source clocks_;
     absl::Time next_entry_tick_ = absl::InfinitePast();
     std::uint64_t last_request_ = 0;
     std::uint64_t last_identity_ = 0;
--- a/tests/control/group_test.cpp
+++ b/tests/control/group_test.cpp
@@ -49,8 +49,7 @@
         world.run_for(absl::Seconds(5));
         ASSERT_TRUE(world.ask_any(group_simulation::declare(3)));
         for (std::size_t i = 0; i < 5; ++i) {
-            world.stop(i);
-            world.at(i).storage->crash(0);
+            world.lose_power(i);
         }
         world.wipe(lost);
         for (std::size_t i = 0; i < 5; ++i) {
@@ -223,8 +222,7 @@
         }
         ASSERT_EQ(running.size(), 5U);
         for (const std::size_t i : running) {
-            world.stop(i);
-            world.at(i).storage->crash(0);
+            world.lose_power(i);
         }
         world.wipe(running[lost]);
         for (const std::size_t i : running) {
--- /dev/null
+++ b/tests/control/lost_members_test.cpp
@@ -0,0 +1,105 @@
+// Members of a group of control instances that are lost and come back.
+
+#include "group_simulation.hpp"
+
+#include <array>
+
+namespace cuminpitch::control {
+namespace {
+
+/// Silent voters of a group of odd size are removed after 15 s.
+constexpr absl::Duration long_loss = absl::Seconds(20);
+/// Time after which an instance that has started counts as being back.
+constexpr absl::Duration catch_up = absl::Seconds(4);
+
+class lost_members : public testing::Test
+{
+protected:
+    explicit lost_members(std::size_t instances = 5) : world(instances, 3)
+    {
+        world.run_for(absl::Seconds(5));
+        leader = world.leader().value_or(0);
+        other = (leader + 1) % instances;
+    }
+
+    /// Loses the power of an instance, whose clock is then behind the one that it had.
+    void lose_power_and_time(std::size_t i)
+    {
+        world.lose_power(i);
+        world.at(i).clock = -absl::Seconds(900);
+    }
+
+    group_simulation world;
+    std::size_t leader = 0;
+    std::size_t other = 0; ///< Any other instance.
+};
+
+// Guards against an instance that is ignored because its clock started anew.
+TEST_F(lost_members, voter_that_lost_power_is_admitted_again)
+{
+    lose_power_and_time(other);
+    world.run_for(long_loss);
+    EXPECT_EQ(world.voters(leader), 4U);
+    world.start(other);
+    world.run_for(catch_up);
+    EXPECT_EQ(world.voters(leader), 5U);
+}
+
+// Guards against a voter that is removed for the time before its clock started anew.
+TEST_F(lost_members, voter_that_lost_power_is_not_silent_once_it_is_back)
+{
+    lose_power_and_time(other);
+    world.run_for(absl::Seconds(1));
+    world.start(other);
+    world.run_for(long_loss);
+    world.stop(leader);
+    world.stop(other);
+    world.run_for(catch_up);
+    const auto next = world.leader();
+    ASSERT_TRUE(next.has_value());
+    EXPECT_EQ(world.voters(*next), 5U);
+}
+
+// Guards against a group that shrinks with each loss of power, until the loss of two
+// disks leaves no majority.
+TEST(lost_members_in_series, group_has_a_leader_after_two_disks_are_lost)
+{
+    constexpr std::size_t instances = 11;
+    constexpr int rounds = 12;
+    core::random_source random(1);
+    group_simulation world(instances, 3);
+    world.run_for(absl::Seconds(8));
+    std::uint64_t number = 0;
+    const auto lose_two = [&](std::size_t first) {
+        return std::array{first, (first + 1 + random() % (instances - 1)) % instances};
+    };
+    for (int round = 0; round < rounds; ++round) {
+        ASSERT_TRUE(world.ask_any(group_simulation::declare(++number)));
+        const auto lost = lose_two(world.leader().value());
+        for (const std::size_t i : lost) {
+            world.lose_power(i);
+            world.at(i).clock = -absl::Seconds(950 - round);
+        }
+        world.run_for(absl::Milliseconds(2500));
+        for (const std::size_t i : lost) {
+            world.start(i);
+        }
+        world.run_for(catch_up);
+    }
+    ASSERT_TRUE(world.ask_any(group_simulation::declare(++number)));
+    const auto leader = world.leader().value();
+    EXPECT_EQ(world.voters(leader), instances);
+    for (std::size_t i = 0; i < instances; ++i) {
+        world.lose_power(i);
+    }
+    for (const std::size_t i : lose_two(leader)) {
+        world.wipe(i);
+    }
+    for (std::size_t i = 0; i < instances; ++i) {
+        world.start(i);
+    }
+    EXPECT_EQ(world.read_as_operator(absl::Seconds(3)), number);
+}
+
+} // namespace
+} // namespace cuminpitch::control
--- a/tests/control/recovery_schedule_test.cpp
+++ b/tests/control/recovery_schedule_test.cpp
@@ -118,8 +118,7 @@
         const bool loses_entries = pick(2) == 0;
         const auto wiped = pick(2 * all.size());
         for (const std::size_t i : all) {
-            world_.stop(i);
-            world_.at(i).storage->crash(pick(3));
+            world_.lose_power(i, pick(3));
         }
         if (wiped < all.size()) {
             trace_ += " all, wipe " + std::to_string(all[wiped]);
--- a/tests/control/recovery_test.cpp
+++ b/tests/control/recovery_test.cpp
@@ -61,8 +61,7 @@
     void stop_control(std::optional<std::size_t> wiped = std::nullopt)
     {
         for (std::size_t i = 0; i < instances; ++i) {
-            world.stop(i);
-            world.at(i).storage->crash(0);
+            world.lose_power(i);
             world.at(i).elections = 0;
         }
         if (wiped) {
--- a/tests/wire/group_codec_test.cpp
+++ b/tests/wire/group_codec_test.cpp
@@ -14,6 +14,7 @@
     it.failure_domain = core::failure_domain_id("olinda");
     it.group = consensus::group_id(7);
     it.revision = core::revision(42);
+    it.start = core::start_id(7);
     it.clock = absl::FromUnixMicros(1'000'000);
     return it;
 }
