Let a new leader decide on announcements only with its whole state

Backend servers got an acknowledgement of their departure that was lost when the leader changed, and after a loss of power the servers that check in were taken for unknown ones.

Cause: an announcement was decided as soon as an entry of the term was committed, while the log is applied in steps after that. Until the declarations are applied, the pool of a server counts as undeclared; a departure is then acknowledged and kept in the memory of the leader only.

Change: a leader decides on announcements once it has applied everything that was committed before its term, and answers 503 until then. Servers repeat the announcement; an acknowledgement is kept.

lost_members.departure_acknowledged_by_a_new_leader_is_not_lost failed before (the server is active at the next leader) and passes. 23 tests of the group and of recovery pass.

--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -354,7 +354,7 @@
         controller_.emplace(options_.controller, assign::rendezvous(), now_);
         confirmations_ = {};
         leader_since_ = now_;
-        has_decided_ = false;
+        has_state_ = false;
         applied_since_elected_ = 0;
     } else {
         fail_calls();
@@ -468,10 +468,10 @@
 /// Logs when a new leader has applied everything that was committed before its term.
 void node::impl::log_applied_state()
 {
-    if (has_decided_ || !can_decide()) {
+    if (has_state_ || !can_decide()) {
         return;
     }
-    has_decided_ = true;
+    has_state_ = true;
     log(telemetry::severity::info,
         "leader has the state",
         {{"term", static_cast<std::int64_t>(replica_->term().value())},
--- a/src/control/node_calls.cpp
+++ b/src/control/node_calls.cpp
@@ -62,7 +62,11 @@
     if (const auto to = leader_http(); to && !is_leader()) {
         answer(id, call_result::ask_leader{*to});
     } else {
-        answer(id, call_result::unavailable{"no leader is known"});
+        answer(
+            id,
+            call_result::unavailable{
+                is_leader() ? "the leader has not applied its log yet"
+                            : "no leader is known"});
     }
 }
 
@@ -250,7 +254,7 @@
         answer_known_announcement(it);
         return;
     }
-    if (!is_leader() || !replica_->synchronized()) {
+    if (!is_leader() || !has_state_) {
         redirect_to_leader(it.id);
         return;
     }
--- a/src/control/node_impl_priv.hpp
+++ b/src/control/node_impl_priv.hpp
@@ -210,8 +210,8 @@
     absl::Time leader_since_ = absl::InfiniteFuture();
     leader_absence leader_absence_;
     group_size logged_size_;
-    /// Whether the state was complete since this instance leads.
-    bool has_decided_ = false;
+    /// Whether this leader has applied everything that was committed before its term.
+    bool has_state_ = false;
     std::size_t applied_since_elected_ = 0;
     absl::Time next_member_change_ = absl::InfinitePast();
     /// Control instances that sent a hello or were named in one, with the time of the
--- a/tests/control/lost_members_test.cpp
+++ b/tests/control/lost_members_test.cpp
@@ -7,6 +7,8 @@
 namespace cuminpitch::control {
 namespace {
 
+using upstream::availability;
+
 /// Silent voters of a group of odd size are removed after 15 s.
 constexpr absl::Duration long_loss = absl::Seconds(20);
 /// Time after which an instance that has started counts as being back.
@@ -101,5 +103,47 @@
     EXPECT_EQ(world.read_as_operator(absl::Seconds(3)), number);
 }
 
+// Guards against an acknowledged departure that a new leader keeps in memory only,
+// because it hasn't applied the declarations yet.
+TEST_F(lost_members, departure_acknowledged_by_a_new_leader_is_not_lost)
+{
+    world.add_entries(3);
+    constexpr std::uint64_t changes = 300;
+    for (std::uint64_t number = 1; number < changes; ++number) {
+        auto it = group_simulation::declare(number);
+        it.settings = {{"teams/t/pools/b/entries", std::to_string(number)}};
+        world.send(leader, it);
+        world.run_for(absl::Milliseconds(10));
+    }
+    ASSERT_TRUE(world.ask_any(group_simulation::declare(changes)));
+    ASSERT_TRUE(world.ask_any(group_simulation::announce("s", availability::active)));
+    world.set_cost(
+        {absl::Microseconds(1500), absl::Microseconds(200), absl::Microseconds(200)});
+    for (std::size_t i = 0; i < world.size(); ++i) {
+        world.lose_power(i);
+    }
+    for (std::size_t i = 0; i < world.size(); ++i) {
+        world.start(i);
+    }
+    std::optional<std::size_t> accepted_by;
+    while (!accepted_by) {
+        for (std::size_t i = 0; i < world.size() && !accepted_by; ++i) {
+            const auto it = world.ask(
+                i,
+                group_simulation::announce("s", availability::leaving),
+                absl::Milliseconds(10));
+            if (it && std::holds_alternative<call_result::accepted>(*it)) {
+                accepted_by = i;
+            }
+        }
+    }
+    world.stop(*accepted_by);
+    world.run_for(catch_up);
+    const auto view = world.entry_at(0).link->replica().view();
+    const auto& servers = view->servers->at(pool_a);
+    ASSERT_EQ(servers.size(), 1U);
+    EXPECT_EQ(servers.front().announcement.state, availability::leaving);
+}
+
 } // namespace
 } // namespace cuminpitch::control
