Drop members that are gone for good from the lists of entries

Entries get the addresses of control instances that no longer exist and try each of them for half a second when they look for a control instance, so that a change can come into force later than two seconds after its acknowledgement.

Cause: two times for one fact. A voter of an even group is removed after 2 s of silence, but an instance counted as present for four hellos, 4 s. The removed voter was added again 50 ms later, as a learner, which nothing removes.

The simulated group didn't show it: it had other intervals than the daemon. admit_members() sets them for both now.

Change: what decides about the members is in member_policy, with one time of contact. An instance silent for that time isn't added, and a learner silent for the surplus time is removed.

--- a/include/cuminpitch/control/node.hpp
+++ b/include/cuminpitch/control/node.hpp
@@ -72,6 +72,10 @@
     controller_options controller;
 };
 
+/// Sets `admits_members` and the intervals of such a group. It serves a large fleet, so
+/// its instances exchange messages other than the Raft log less often.
+void admit_members(node_options& it);
+
 namespace event {
 
 struct operator_request
--- a/src/control/node_impl_priv.hpp
+++ b/src/control/node_impl_priv.hpp
@@ -5,8 +5,8 @@
 #include "control/deferred_announcements_priv.hpp"
 #include "control/entry_roster_priv.hpp"
 #include "control/group_directory_priv.hpp"
-#include "control/group_size_priv.hpp"
 #include "control/leader_absence_priv.hpp"
+#include "control/member_policy_priv.hpp"
 #include "control/operator_api_priv.hpp"
 #include "control/sync_clients_priv.hpp"
 #include "cuminpitch/consensus/replica.hpp"
@@ -91,7 +91,6 @@
     void redirect_to_leader(core::request_id id);
     void log_unanswered_read(const char* reason, absl::Duration waited);
     void log_leader_absence();
-    group_size size() const;
     void log_group_size();
     void log_applied_state();
     /// Voters without a message within a second, each with the time since the last one.
@@ -110,7 +109,8 @@
     void log_ignored_hello(const net::peer& from, const group_hello& it);
     void send_hellos();
     void reconcile_members();
-    void remove_silent_voter();
+    std::vector<heard_member> heard_members() const;
+    void remove_silent_member();
     absl::Time last_heard(const consensus::member& it) const;
     std::vector<core::endpoint> known_instances() const;
     std::vector<core::endpoint> member_endpoints() const;
--- a/src/control/node_members.cpp
+++ b/src/control/node_members.cpp
@@ -10,6 +10,30 @@
 #include <utility>
 
 namespace cuminpitch::control {
+namespace {
+
+constexpr absl::Duration relay_interval = absl::Seconds(2);
+constexpr absl::Duration hello_interval = absl::Seconds(1);
+/// Changes must be in force within two seconds even during a leader election. The minimum
+/// is at least four heartbeat intervals, so that one late heartbeat starts no election.
+constexpr absl::Duration quick_election_min = absl::Milliseconds(400);
+constexpr absl::Duration quick_election_max = absl::Milliseconds(800);
+/// An election round takes a few milliseconds plus one disk sync.
+constexpr absl::Duration quick_start_min = absl::Milliseconds(100);
+constexpr absl::Duration quick_start_max = absl::Milliseconds(250);
+
+} // namespace
+
+void admit_members(node_options& it)
+{
+    it.admits_members = true;
+    it.relay_interval = relay_interval;
+    it.hello_interval = hello_interval;
+    it.replica.election_timeout_min = quick_election_min;
+    it.replica.election_timeout_max = quick_election_max;
+    it.replica.start_timeout_min = quick_start_min;
+    it.replica.start_timeout_max = quick_start_max;
+}
 
 void node::impl::receive(const net::peer& from, const group_hello& it)
 {
@@ -76,11 +100,11 @@
         return;
     }
     if (options_.admits_members) {
-        remove_silent_voter();
+        remove_silent_member();
     }
     for (const auto& [internal, it] : directory_.instances()) {
         const auto& members = replica_->members();
-        const bool is_present = now_ - it.last_heard < 4 * options_.hello_interval;
+        const bool is_present = now_ - it.last_heard < contact_time;
         // The initial voters know each other only by endpoint, so it serves as the name.
         const auto name =
             options_.admits_members ? core::instance_id(internal.str()) : it.id;
@@ -121,42 +145,34 @@
          started_});
 }
 
-/// Removes a voter without contact, since one that never returns would count towards
-/// every majority. At least three voters must be in contact, so that the group still
-/// tolerates the loss of one.
-void node::impl::remove_silent_voter()
+std::vector<heard_member> node::impl::heard_members() const
 {
-    constexpr std::size_t min_voters = 3;
-    // A new leader has heard from the voters that are in contact with it by then.
-    constexpr absl::Duration settling_time = absl::Seconds(1);
-    if (now_ < leader_since_ + settling_time) {
-        return;
-    }
-    std::size_t present = 0;
-    const consensus::member* silent = nullptr;
+    std::vector<heard_member> out;
     for (const auto& it : replica_->members().members()) {
-        if (it.role != consensus::member_role::voter) {
-            continue;
-        }
-        present += now_ - last_heard(it) < absl::Seconds(1) ? 1 : 0;
-        if (silent == nullptr || last_heard(it) < last_heard(*silent)) {
-            silent = &it;
-        }
+        out.push_back({&it, last_heard(it)});
     }
-    const bool is_surplus = replica_->members().voter_count() % 2 == 0;
-    const auto timeout =
-        is_surplus ? options_.surplus_voter_timeout : options_.silent_voter_timeout;
-    if (silent == nullptr || now_ - last_heard(*silent) < timeout ||
-        present < min_voters) {
+    return out;
+}
+
+void node::impl::remove_silent_member()
+{
+    // A new leader has heard from the members that are in contact with it by then.
+    constexpr absl::Duration settling_time = absl::Seconds(1);
+    if (now_ < leader_since_ + settling_time) {
         return;
     }
-    const consensus::member removed = *silent;
-    if (replica_->change_members(now_, consensus::remove_member{removed.id})) {
+    const auto removed = member_to_remove(
+        now_,
+        heard_members(),
+        {options_.silent_voter_timeout, options_.surplus_voter_timeout});
+    if (removed &&
+        replica_->change_members(now_, consensus::remove_member{removed->id})) {
         log(telemetry::severity::warning,
-            "removing silent voter",
-            {{"id", removed.name.str()},
-             {"identity", removed.id.str()},
-             {"silent_ms", absl::ToInt64Milliseconds(now_ - last_heard(removed))}});
+            removed->role == consensus::member_role::voter ? "removing silent voter"
+                                                           : "removing silent learner",
+            {{"id", removed->name.str()},
+             {"identity", removed->id.str()},
+             {"silent_ms", absl::ToInt64Milliseconds(now_ - last_heard(*removed))}});
     }
 }
 
@@ -191,23 +207,10 @@
     return result;
 }
 
-group_size node::impl::size() const
-{
-    constexpr absl::Duration contact_time = absl::Seconds(2);
-    group_size out;
-    out.voters = replica_->members().voter_count();
-    for (const auto& it : replica_->members().members()) {
-        const bool is_voter = it.role == consensus::member_role::voter;
-        out.learners += is_voter ? 0 : 1;
-        out.in_contact += is_voter && now_ - last_heard(it) < contact_time ? 1 : 0;
-    }
-    return out;
-}
-
 /// Logs the size of the group at its leader whenever it changes.
 void node::impl::log_group_size()
 {
-    const auto now = is_leader() ? size() : group_size();
+    const auto now = is_leader() ? size_of(now_, heard_members()) : group_size();
     if (std::exchange(logged_size_, now) == now || !is_leader()) {
         return;
     }
--- a/src/control/node_operator.cpp
+++ b/src/control/node_operator.cpp
@@ -58,7 +58,7 @@
 
 void node::impl::set_member_metrics()
 {
-    const auto group = size();
+    const auto group = size_of(now_, heard_members());
     const auto set = [this](const char* name, std::size_t count) {
         metrics_.set(name, static_cast<double>(count));
     };
--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -30,18 +30,6 @@
 
 constexpr absl::Duration tick_interval = absl::Milliseconds(10);
 
-/// Control instances that admit members serve large fleets, so they exchange messages
-/// other than the Raft log less often.
-constexpr absl::Duration relay_interval = absl::Seconds(2);
-constexpr absl::Duration hello_interval = absl::Seconds(1);
-/// Changes must be in force within two seconds even during a leader election. The minimum
-/// is at least four heartbeat intervals, so that one late heartbeat starts no election.
-constexpr absl::Duration quick_election_min = absl::Milliseconds(400);
-constexpr absl::Duration quick_election_max = absl::Milliseconds(800);
-/// An election round takes a few milliseconds plus one disk sync.
-constexpr absl::Duration quick_start_min = absl::Milliseconds(100);
-constexpr absl::Duration quick_start_max = absl::Milliseconds(250);
-
 /// A batch of events that takes longer delays the heartbeats of a leader and is logged.
 constexpr absl::Duration slow_batch = absl::Milliseconds(100);
 
@@ -313,21 +301,15 @@
     options.failure_domain = settings_.failure_domain;
     options.peers = settings_.seeds.empty() ? settings_.peers : settings_.seeds;
     std::erase(options.peers, settings_.internal);
-    options.admits_members = !settings_.seeds.empty();
+    if (!settings_.seeds.empty()) {
+        control::admit_members(options);
+    }
     options.entries_per_answer = settings_.entries_per_answer;
     options.slots_per_entry = settings_.slots_per_entry;
     options.memory = limits_;
     options.replica.kept_bytes = limits_.kept_log;
     options.replica.max_uncommitted_bytes = limits_.uncommitted_log;
     options.replica.max_unacknowledged_bytes = limits_.unacknowledged_log;
-    if (options.admits_members) {
-        options.relay_interval = relay_interval;
-        options.hello_interval = hello_interval;
-        options.replica.election_timeout_min = quick_election_min;
-        options.replica.election_timeout_max = quick_election_max;
-        options.replica.start_timeout_min = quick_start_min;
-        options.replica.start_timeout_max = quick_start_max;
-    }
     const core::random_source seed(random_());
     node_ = control::node::make(
         std::move(options),
--- a/tests/control/group_simulation.cpp
+++ b/tests/control/group_simulation.cpp
@@ -51,7 +51,7 @@
     it.internal = endpoint_of(i, 1);
     it.http = endpoint_of(i, 2);
     it.failure_domain = core::failure_domain_id("d" + std::to_string(i % domains));
-    it.admits_members = true;
+    admit_members(it);
     it.peers = seeds_;
     std::erase(it.peers, it.internal);
     it.memory = memory_;
--- a/tests/control/lost_members_test.cpp
+++ b/tests/control/lost_members_test.cpp
@@ -2,7 +2,9 @@
 
 #include "group_simulation.hpp"
 
+#include <algorithm>
 #include <array>
+#include <vector>
 
 namespace cuminpitch::control {
 namespace {
@@ -62,6 +64,26 @@
     EXPECT_EQ(world.voters(*next), 5U);
 }
 
+// Guards against instances that are gone for good and stay in the lists that entries get.
+TEST_F(lost_members, replaced_instances_are_not_kept_as_learners)
+{
+    const std::vector<std::size_t> replaced = {other, (other + 1) % 5};
+    for (const std::size_t i : replaced) {
+        world.add();
+        world.run_for(absl::Milliseconds(500));
+        world.stop(i);
+        world.run_for(catch_up);
+    }
+    world.add_entries(1);
+    world.run_for(absl::Seconds(2));
+    EXPECT_EQ(world.voters(leader), 5U);
+    const auto known = world.entry_at(0).link->control();
+    EXPECT_EQ(known.size(), 5U);
+    for (const std::size_t i : replaced) {
+        EXPECT_EQ(std::ranges::count(known, world.at(i).internal), 0) << i;
+    }
+}
+
 // Guards against a group that shrinks with each loss of power, until the loss of two
 // disks leaves no majority.
 TEST(lost_members_in_series, group_has_a_leader_after_two_disks_are_lost)
