Keep the voters that the declared losses need

Cause: silent voters were removed as long as three were left, which bears one loss. A deployment that is to bear two needs five: at four, the two that are left have no majority, ever. Nothing in the product knew the number.

Evidence: declared_losses.two_disks_are_lost_while_a_third_instance_is_away, a group of five, one instance away for 20 s, then two disks and all power lost: 4 voters and nothing is read without this change; 5 voters and the newest document with it.

Not covered: a tolerance declared in failure domains or regions.

--- a/include/cuminpitch/control/node.hpp
+++ b/include/cuminpitch/control/node.hpp
@@ -40,6 +40,10 @@
     bool admits_members = false;
     absl::Duration silent_voter_timeout = absl::Seconds(15);
     absl::Duration surplus_voter_timeout = absl::Seconds(2);
+    /// Instances that may be lost at the same moment, with their disks, while the others
+    /// keep all that was acknowledged and have a leader. The group removes no voter below
+    /// the number that this needs.
+    std::size_t declared_losses = 1;
     /// Time between membership changes, each of which needs a commit.
     absl::Duration member_interval = absl::Milliseconds(50);
     /// Entries named in an answer to callers; more are named if servers have many slots.
--- a/include/cuminpitch/core/process_settings.hpp
+++ b/include/cuminpitch/core/process_settings.hpp
@@ -29,6 +29,10 @@
     /// `--seeds`, internal endpoints of some control instances, which may include this
     /// one. Replaces `peers`: the group admits instances that announce themselves.
     std::vector<endpoint> seeds;
+    /// `--declared-losses`: control instances that may be lost at the same moment, with
+    /// their disks, without losing an acknowledged change or the majority. The group
+    /// keeps as many voters as this needs.
+    std::uint32_t declared_losses = 1;
     /// `--form-group`: the seeds form the initial group. Only for the first start of a
     /// fleet; has no effect on an instance whose data folder is not empty.
     bool form_group = false;
--- a/src/control/member_policy.cpp
+++ b/src/control/member_policy.cpp
@@ -1,11 +1,8 @@
 #include "control/member_policy_priv.hpp"
 
-#include <algorithm>
-
 namespace cuminpitch::control {
 namespace {
 
-constexpr std::size_t min_voters_in_contact = 3;
 /// Voters in contact send several messages in this time.
 constexpr absl::Duration recent_contact_time = absl::Seconds(1);
 
@@ -43,19 +40,18 @@
 }
 
 std::optional<consensus::member> member_to_remove(
-    absl::Time now,
-    const std::vector<heard_member>& members,
-    const member_timeouts& timeouts)
+    absl::Time now, const std::vector<heard_member>& members, const member_limits& limits)
 {
     const auto* learner = most_silent(members, false);
-    if (learner != nullptr && now - learner->last_heard >= timeouts.surplus) {
+    if (learner != nullptr && now - learner->last_heard >= limits.surplus_timeout) {
         return *learner->member;
     }
     const auto size = size_of(now, members, recent_contact_time);
     const auto* voter = most_silent(members, true);
-    const auto timeout = size.voters % 2 == 0 ? timeouts.surplus : timeouts.voter;
+    const auto timeout =
+        size.voters % 2 == 0 ? limits.surplus_timeout : limits.voter_timeout;
     if (voter == nullptr || now - voter->last_heard < timeout ||
-        size.in_contact < min_voters_in_contact) {
+        size.voters <= limits.min_voters() || size.in_contact < limits.min_voters()) {
         return std::nullopt;
     }
     return *voter->member;
--- a/src/control/member_policy_priv.hpp
+++ b/src/control/member_policy_priv.hpp
@@ -4,6 +4,7 @@
 
 #include <absl/time/time.h>
 
+#include <algorithm>
 #include <cstddef>
 #include <optional>
 #include <vector>
@@ -40,21 +41,29 @@
     const std::vector<heard_member>& members,
     absl::Duration contact = contact_time);
 
-/// Times without a message after which members are removed.
-struct member_timeouts
+struct member_limits
 {
-    absl::Duration voter;
-    /// For learners, and for voters of a group of even size.
-    absl::Duration surplus;
+    /// Time without a message after which voters are removed.
+    absl::Duration voter_timeout;
+    /// The same for learners, and for voters of a group of even size.
+    absl::Duration surplus_timeout;
+    /// Voters that may be lost at one moment, with their disks.
+    std::size_t declared_losses = 1;
+
+    /// Voters that this needs: without the lost ones a majority is left, and a majority
+    /// has members that aren't lost.
+    std::size_t min_voters() const
+    {
+        return std::max<std::size_t>(3, 2 * declared_losses + 1);
+    }
 };
 
 /// Returns the member to remove now, if there is one. A learner that never returns would
 /// stay in the lists that entries get. A voter that never returns would count towards
-/// every majority; at least three voters must be in contact, so that the group still
-/// tolerates the loss of one.
+/// every majority, but the group keeps the voters that the declared losses need.
 std::optional<consensus::member> member_to_remove(
     absl::Time now,
     const std::vector<heard_member>& members,
-    const member_timeouts& timeouts);
+    const member_limits& limits);
 
 } // namespace cuminpitch::control
--- a/src/control/node_members.cpp
+++ b/src/control/node_members.cpp
@@ -164,7 +164,9 @@
     const auto removed = member_to_remove(
         now_,
         heard_members(),
-        {options_.silent_voter_timeout, options_.surplus_voter_timeout});
+        {options_.silent_voter_timeout,
+         options_.surplus_voter_timeout,
+         options_.declared_losses});
     if (removed &&
         replica_->change_members(now_, consensus::remove_member{removed->id})) {
         log(telemetry::severity::warning,
@@ -219,7 +221,8 @@
         {{"voters", static_cast<std::int64_t>(now.voters)},
          {"in_contact", static_cast<std::int64_t>(now.in_contact)},
          {"learners", static_cast<std::int64_t>(now.learners)},
-         {"bearable_losses", static_cast<std::int64_t>(now.bearable_losses())}});
+         {"bearable_losses", static_cast<std::int64_t>(now.bearable_losses())},
+         {"declared_losses", static_cast<std::int64_t>(options_.declared_losses)}});
 }
 
 std::string node::impl::silent_voters() const
--- a/src/control/node_operator.cpp
+++ b/src/control/node_operator.cpp
@@ -66,6 +66,7 @@
     set("cuminpitch_silent_voters", group.voters - group.in_contact);
     set("cuminpitch_learners", group.learners);
     set("cuminpitch_bearable_losses", group.bearable_losses());
+    set("cuminpitch_declared_losses", options_.declared_losses);
 }
 
 void node::impl::answer_request(const event::operator_request& it)
--- a/src/core/process_settings.cpp
+++ b/src/core/process_settings.cpp
@@ -1,5 +1,6 @@
 #include "cuminpitch/core/process_settings.hpp"
 
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
@@ -14,6 +15,7 @@
 const std::vector<std::string> boolean_values = {"false", "true"};
 const std::vector<std::string> admission_orders = {"arrival-order", "ranked"};
 constexpr std::uint32_t max_entries_per_answer = 64;
+constexpr std::uint32_t max_declared_losses = 5;
 constexpr std::uint32_t max_slots_per_entry = 1'000'000;
 constexpr std::uint32_t max_memory_mb = 1'000'000;
 constexpr std::uint32_t max_pipeline_depth = 64;
@@ -152,6 +154,13 @@
         "");
     std::string form_group;
     std::vector<endpoint> directory;
+    parser.add(
+        "declared-losses",
+        "Number of control instances that may be lost at the same moment, with their "
+        "disks; the group keeps as many voters as this needs",
+        count_setting(0, max_declared_losses),
+        it.declared_losses,
+        "1");
     parser.add(
         "seeds",
         "Internal endpoints of some control instances, instead of --peers",
@@ -190,6 +199,15 @@
     if (it.form_group && it.seeds.empty()) {
         return bad_setting("form-group", form_group, "only with --seeds");
     }
+    const std::size_t instances = it.peers.size() + 1;
+    if (it.seeds.empty() && it.declared_losses > 1 &&
+        instances < 2 * it.declared_losses + 1) {
+        return bad_setting(
+            "declared-losses",
+            absl::StrCat(it.declared_losses),
+            absl::StrCat(
+                "at most ", (instances - 1) / 2, " with ", instances, " instances"));
+    }
     if (auto early_exit = check_endpoints(it, "peers", it.peers)) {
         return *early_exit;
     }
--- a/src/daemon/control_daemon.cpp
+++ b/src/daemon/control_daemon.cpp
@@ -304,6 +304,7 @@
     if (!settings_.seeds.empty()) {
         control::admit_members(options);
     }
+    options.declared_losses = settings_.declared_losses;
     options.entries_per_answer = settings_.entries_per_answer;
     options.slots_per_entry = settings_.slots_per_entry;
     options.memory = limits_;
--- a/tests/control/group_simulation.cpp
+++ b/tests/control/group_simulation.cpp
@@ -23,8 +23,12 @@
 } // namespace
 
 group_simulation::group_simulation(
-    std::size_t instances, std::size_t seed_count, std::uint64_t seed)
-    : seed_count_(seed_count), seed_(seed), clocks_(seed)
+    std::size_t instances,
+    std::size_t seed_count,
+    std::uint64_t seed,
+    std::size_t declared_losses)
+    : seed_count_(seed_count), declared_losses_(declared_losses), seed_(seed),
+      clocks_(seed)
 {
     for (std::size_t i = 0; i < seed_count; ++i) {
         seeds_.push_back(endpoint_of(i, 1));
@@ -55,6 +59,7 @@
     it.peers = seeds_;
     std::erase(it.peers, it.internal);
     it.memory = memory_;
+    it.declared_losses = declared_losses_;
     return it;
 }
 
--- a/tests/control/group_simulation.hpp
+++ b/tests/control/group_simulation.hpp
@@ -64,7 +64,10 @@
 
     /// The first `seed_count` of the instances are the seeds and form the group.
     group_simulation(
-        std::size_t instances, std::size_t seed_count, std::uint64_t seed = 7);
+        std::size_t instances,
+        std::size_t seed_count,
+        std::uint64_t seed = 7,
+        std::size_t declared_losses = 1);
     void set_cost(const processing_cost& it) { cost_ = it; }
     /// Takes effect at the next start of an instance.
     void set_memory(const memory_limits& it) { memory_ = it; }
@@ -183,6 +186,7 @@
     std::vector<simulated_entry> entries_;
     std::map<core::endpoint, std::size_t> entry_numbers_;
     processing_cost cost_;
+    std::size_t declared_losses_;
     memory_limits memory_ = memory_limits_for(0);
     std::uint64_t seed_;
     core::random_source clocks_;
--- a/tests/control/lost_members_test.cpp
+++ b/tests/control/lost_members_test.cpp
@@ -84,6 +84,29 @@
     }
 }
 
+// Guards against a group that gives up voters until the losses that it was declared to
+// bear leave no majority.
+TEST(declared_losses, two_disks_are_lost_while_a_third_instance_is_away)
+{
+    group_simulation world(5, 3, 1, 2);
+    world.run_for(absl::Seconds(5));
+    const auto leader = world.leader().value();
+    const auto away = (leader + 1) % 5;
+    world.lose_power(away);
+    world.run_for(long_loss);
+    EXPECT_EQ(world.voters(leader), 5U);
+    ASSERT_TRUE(world.ask_any(group_simulation::declare(1)));
+    for (std::size_t i = 0; i < world.size(); ++i) {
+        world.lose_power(i);
+    }
+    world.wipe((leader + 2) % 5);
+    world.wipe((leader + 3) % 5);
+    for (std::size_t i = 0; i < world.size(); ++i) {
+        world.start(i);
+    }
+    EXPECT_EQ(world.read_as_operator(absl::Seconds(3)), 1U);
+}
+
 // Guards against a group that shrinks with each loss of power, until the loss of two
 // disks leaves no majority.
 TEST(lost_members_in_series, group_has_a_leader_after_two_disks_are_lost)
@@ -91,7 +114,7 @@
     constexpr std::size_t instances = 11;
     constexpr int rounds = 12;
     core::random_source random(1);
-    group_simulation world(instances, 3);
+    group_simulation world(instances, 3, 1, 2);
     world.run_for(absl::Seconds(8));
     std::uint64_t number = 0;
     const auto lose_two = [&](std::size_t first) {
--- a/tests/core/process_settings_test.cpp
+++ b/tests/core/process_settings_test.cpp
@@ -73,6 +73,20 @@
     EXPECT_EQ(settings->log_level, telemetry::severity::info);
 }
 
+// Guards against a group that is too small for the losses that it was declared to bear.
+TEST(process_settings, refuses_more_losses_than_the_instances_can_bear)
+{
+    auto arguments = control_arguments();
+    arguments["--declared-losses"] = "2";
+    EXPECT_TRUE(std::holds_alternative<exit_request>(
+        parse_with(parse_control_settings, arguments)));
+    arguments["--peers"] = "127.0.0.2:7002,127.0.0.3:7002,127.0.0.4:7002,127.0.0.5:7002";
+    const auto it = parse_with(parse_control_settings, arguments);
+    const auto* settings = std::get_if<control_settings>(&it);
+    ASSERT_NE(settings, nullptr);
+    EXPECT_EQ(settings->declared_losses, 2U);
+}
+
 // Guards against a memory limit that is parsed and not stored in the settings.
 TEST(process_settings, reads_the_memory_of_both_kinds_of_instances)
 {
