Give back the memory of frames that arrived whole

Cause: frame_reader erased the bytes of returned frames only when a part of the next frame had arrived. Frames that arrive whole, nearly all, stayed in the buffer for the life of the connection.

Change: the bytes are erased whenever less than a header is left, and a large empty buffer is given back.

--- a/src/net/frame_codec.cpp
+++ b/src/net/frame_codec.cpp
@@ -85,7 +85,11 @@
 
 std::optional<frame_reader::raw_frame> frame_reader::next()
 {
-    if (is_malformed_ || buf_.size() - consumed_ < frame_header_bytes) {
+    if (is_malformed_) {
+        return std::nullopt;
+    }
+    if (buf_.size() - consumed_ < frame_header_bytes) {
+        discard_consumed();
         return std::nullopt;
     }
     const std::uint32_t n = get_length(std::string_view(buf_).substr(consumed_));
@@ -94,8 +98,7 @@
         return std::nullopt;
     }
     if (buf_.size() - consumed_ < frame_header_bytes + n) {
-        buf_.erase(0, consumed_);
-        consumed_ = 0;
+        discard_consumed();
         return std::nullopt;
     }
     raw_frame it;
@@ -114,4 +117,14 @@
     return it;
 }
 
+void frame_reader::discard_consumed()
+{
+    constexpr std::size_t kept_capacity = 16U << 10U;
+    buf_.erase(0, consumed_);
+    consumed_ = 0;
+    if (buf_.empty() && buf_.capacity() > kept_capacity) {
+        std::string().swap(buf_); // An assignment keeps the capacity.
+    }
+}
+
 } // namespace cuminpitch::net
--- a/src/net/frame_codec_priv.hpp
+++ b/src/net/frame_codec_priv.hpp
@@ -61,7 +61,13 @@
     /// connection must be closed.
     bool is_malformed() const { return is_malformed_; }
 
+    /// Size of the buffer, used or not.
+    std::size_t held_bytes() const { return buf_.capacity(); }
+
 private:
+    /// Gives back the memory of the frames that were returned.
+    void discard_consumed();
+
     std::size_t max_frame_bytes_;
     std::string buf_;
     std::size_t consumed_ = 0;
--- a/tests/net/tcp_transport_test.cpp
+++ b/tests/net/tcp_transport_test.cpp
@@ -13,6 +13,7 @@
 #include <sys/socket.h>
 
 #include <chrono>
+#include <random>
 #include <thread>
 #include <vector>
 
@@ -195,6 +196,30 @@
     EXPECT_LE(1000 * (idle_s + 2 * interval_s), timeout_ms);
 }
 
+// Guards against a connection that keeps the bytes of all frames that ever arrived whole.
+TEST(frame_reader, gives_back_the_memory_of_whole_frames)
+{
+    constexpr std::size_t limit = 1U << 20U;
+    frame_reader reader(limit);
+    const std::string small = encode_frame(2, "payload");
+    for (int i = 0; i < 100'000; ++i) {
+        reader.append(small.data(), small.size());
+        ASSERT_TRUE(reader.next().has_value());
+        ASSERT_FALSE(reader.next().has_value());
+    }
+    EXPECT_LT(reader.held_bytes(), 1U << 10U);
+    std::string incompressible(limit / 2, '\0');
+    std::mt19937 random(1);
+    for (auto& it : incompressible) {
+        it = static_cast<char>(random());
+    }
+    const std::string large = encode_frame(2, incompressible);
+    reader.append(large.data(), large.size());
+    ASSERT_TRUE(reader.next().has_value());
+    ASSERT_FALSE(reader.next().has_value());
+    EXPECT_LT(reader.held_bytes(), limit / 8);
+}
+
 TEST(frame_reader, waits_for_whole_frames_and_rejects_too_long_ones)
 {
     frame_reader reader(8);
