Answer 503 until a fleet has its first declarations

Cause: an entry made a route table from any state of a revision above 0. The commands by which entries join are such a state, long before the first declarations.

Change: an entry has no route table, isn't ready and refuses with 503 until its state has a route or a document. An entry that had declarations obeys later ones without routes.

startup_wait_test.entry_without_declarations_is_not_ready failed before (ready, 404) and passes. The old state of two other tests of that file had no route at all; it has another one now, since a state without any is no longer obeyed, and the same answers are expected.

--- a/src/entry/node_pools.cpp
+++ b/src/entry/node_pools.cpp
@@ -105,7 +105,10 @@
     const auto previous = std::exchange(view_, link_.replica().view());
     const bool same_declarations =
         previous && previous->declarations == view_->declarations;
-    if (!same_declarations) {
+    // Before its first declarations, a fleet already has a state.
+    const bool is_declared =
+        routes_ || view_->document_number > 0 || !view_->declarations->routes.empty();
+    if (is_declared && (!same_declarations || !routes_)) {
         declared_ = view_->revision;
         routes_ = std::make_shared<const request::route_table>(
             view_->declarations, options_.dialect.paths);
--- a/tests/entry/startup_wait_test.cpp
+++ b/tests/entry/startup_wait_test.cpp
@@ -42,6 +42,7 @@
     }
 
     bool is_idle() const { return entry_->is_idle(); }
+    bool is_ready() const { return entry_->is_ready(); }
     void request(std::uint64_t id) { handle(make_request(id)); }
 
     void receive_state(std::uint64_t revision = 1)
@@ -52,13 +53,27 @@
         handle(full_state(contents));
     }
 
-    /// Delivers a state without the route from a control instance that has restarted and
-    /// has no recent contact with a majority.
+    /// Delivers a state with another route only, from a control instance that has
+    /// restarted and has no recent contact with a majority.
     void receive_old_state(std::uint64_t revision)
     {
         const auto contents = make_contents();
-        contents->revision = core::revision(revision);
+        contents->settings["teams/t/routes/r/host"] = "\"other\"";
+        receive_from_restarted(contents, revision);
+    }
+
+    /// Delivers the state of a fleet before the first declarations.
+    void receive_empty_state(std::uint64_t revision)
+    {
+        const auto contents = make_contents();
         contents->settings.clear();
+        receive_from_restarted(contents, revision);
+    }
+
+    void receive_from_restarted(
+        const std::shared_ptr<control::fleet_contents>& contents, std::uint64_t revision)
+    {
+        contents->revision = core::revision(revision);
         control::sync_response it{contents, contents->revision, {}, false};
         it.age = absl::Hours(1);
         handle(frame_with(it));
@@ -132,6 +147,22 @@
     EXPECT_EQ(outcomes, (std::map<std::uint64_t, int>{{1, 404}}));
 }
 
+// Guards against callers that get a final 404 from an entry before the first
+// declarations.
+TEST_F(startup_wait_test, entry_without_declarations_is_not_ready)
+{
+    receive_empty_state(3);
+    advance(absl::Seconds(3));
+    EXPECT_FALSE(is_ready());
+    request(1);
+    EXPECT_EQ(outcomes[1], 503);
+    receive_state(4);
+    advance(absl::Milliseconds(100));
+    EXPECT_TRUE(is_ready());
+    request(2);
+    EXPECT_EQ(outcomes[2], sent);
+}
+
 // Guards against an entry that processes its requests only ten times per second.
 TEST_F(startup_wait_test, entry_with_a_request_is_not_idle)
 {
