--- a/tests/control/group_simulation.cpp
+++ b/tests/control/group_simulation.cpp
@@ -59,6 +59,7 @@
     it.peers = seeds_;
     std::erase(it.peers, it.internal);
     it.memory = memory_;
+    it.replica.kept_bytes = memory_.kept_log;
     it.declared_losses = declared_losses_;
     return it;
 }
@@ -96,9 +97,34 @@
         std::uniform_int_distribution<std::int64_t>(0, longest_uptime_s)(clocks_));
 }
 
+void group_simulation::lose_all_power_at(std::size_t write, bool takes_effect)
+{
+    writes_until_loss_ = write;
+    last_write_takes_effect_ = takes_effect;
+}
+
+bool group_simulation::make_durable(absl::FunctionRef<core::result<void>()> write)
+{
+    const bool is_last = writes_until_loss_ == 1;
+    writes_until_loss_ -= writes_until_loss_ > 0 ? 1 : 0;
+    if (!is_last || last_write_takes_effect_) {
+        EXPECT_TRUE(write().has_value());
+    }
+    return !is_last;
+}
+
+void group_simulation::lose_all_power()
+{
+    for (std::size_t i = 0; i < size(); ++i) {
+        lose_power(i);
+    }
+    network_.clear();
+}
+
 void group_simulation::start(std::size_t i)
 {
     auto& it = at(i);
+    has_power_ = true;
     it.inbox.clear();
     it.busy_until = absl::InfinitePast();
     ++it.starts;
@@ -258,15 +284,18 @@
         } else if (auto* entries = std::get_if<consensus::write_entries>(&action)) {
             EXPECT_TRUE(it.storage->write(*entries).has_value());
         } else if (auto* snapshot = std::get_if<consensus::write_snapshot>(&action)) {
-            EXPECT_TRUE(it.storage->write(*snapshot).has_value());
+            has_power_ = make_durable([&] { return it.storage->write(*snapshot); });
         } else if (std::holds_alternative<consensus::sync_writes>(action)) {
-            EXPECT_TRUE(it.storage->sync().has_value());
+            has_power_ = make_durable([&] { return it.storage->sync(); });
         } else if (auto* line = std::get_if<action::write_log>(&action)) {
             const bool leads =
                 line->event == "role changed" &&
                 std::get<std::string>(line->fields.front().value) == "leader";
             it.elections += leads ? 1 : 0;
         }
+        if (!has_power_) {
+            return busy;
+        }
     }
     for (auto& frame : sent_frames) {
         network_.emplace(now_ + busy + delay, std::move(frame));
@@ -348,6 +377,10 @@
             if (at(i).running) {
                 step(i);
             }
+            if (!has_power_) {
+                lose_all_power();
+                return;
+            }
         }
     }
 }
--- a/tests/control/group_simulation.hpp
+++ b/tests/control/group_simulation.hpp
@@ -6,6 +6,7 @@
 #include "entry/control_link_priv.hpp"
 #include "sample.hpp"
 
+#include <absl/functional/function_ref.h>
 #include <gtest/gtest.h>
 
 #include <map>
@@ -90,6 +91,12 @@
     /// Stops the instance. Of its unsynced writes, the first `surviving` remain, and its
     /// clock starts anew.
     void lose_power(std::size_t i, std::size_t surviving = 0);
+    /// Makes all instances lose power at the durable write with this number, counted from
+    /// now and over all instances: before it takes effect, or after it and before
+    /// anything that follows from it. run_for() then returns early.
+    void lose_all_power_at(std::size_t write, bool takes_effect);
+    /// False from such a loss of power until an instance starts.
+    bool has_power() const { return has_power_; }
     void wipe(std::size_t i);
     /// Adds an instance at a new address, with an empty disk and running instances as its
     /// seeds. Returns its number.
@@ -169,6 +176,10 @@
     void step(std::size_t i);
     /// Executes the actions of a step and returns how long the instance is busy.
     absl::Duration execute(std::size_t i, std::vector<node_action> actions);
+    /// Makes a write durable, unless the power of all instances is lost before it.
+    /// Returns false if it is lost before or after it.
+    bool make_durable(absl::FunctionRef<core::result<void>()> write);
+    void lose_all_power();
     void record_for_entry(std::size_t i, const action::send_frame& it);
     void deliver();
     void deliver_to_entry(message& it);
@@ -193,6 +204,9 @@
     absl::Time next_entry_tick_ = absl::InfinitePast();
     std::uint64_t last_request_ = 0;
     std::uint64_t last_identity_ = 0;
+    std::size_t writes_until_loss_ = 0; ///< 0: the power isn't lost.
+    bool last_write_takes_effect_ = false;
+    bool has_power_ = true;
     telemetry::metrics metrics_;
 };
 
