End the soak with a loss of all processes and a disk

After its last fault it now kills all processes at the same moment and empties one control instance. The newest acknowledged configuration has to be read within 4 s, and the other guarantees hold as before while connections are in use.

--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -28,6 +28,8 @@
 constexpr absl::Duration start_timeout = absl::Seconds(20);
 /// The setting `recovery-s` of the platform.
 constexpr absl::Duration recovery = absl::Seconds(15);
+/// Time within which the configuration can be read once all processes start again.
+constexpr absl::Duration read_after_start = absl::Seconds(4);
 constexpr absl::Duration final_measurement = absl::Seconds(3);
 constexpr std::size_t upload_bytes = 30000;
 constexpr absl::Duration first_fault = absl::Seconds(2);
@@ -56,8 +58,10 @@
 private:
     bool begin();
     void inject_faults();
+    void lose_all_power();
     void recover(soak_result& out);
-    void check_last_configuration();
+    /// Waits for this long at most until the newest acknowledged configuration is read.
+    void check_last_configuration(absl::Duration limit);
 
     void add_server();
     void replace_gone_servers();
@@ -98,6 +102,7 @@
     std::vector<std::thread> threads_;
     std::atomic<bool> stopping_{false};
     std::vector<std::string> faults_;
+    std::string last_wiped_; ///< Control instance that lost its disk last.
     std::vector<std::string> stop_problems_;
     absl::Time started_ = absl::Now();
     unsigned last_server_ = 0;
@@ -359,6 +364,7 @@
                 "control", absl::Now() - absl::Seconds(4), absl::Now())) {
             log_fault("wipe " + control);
             fleet_.wipe(control);
+            last_wiped_ = control;
         }
         break;
     case 7:
@@ -489,13 +495,28 @@
     }
 }
 
+/// Ends all processes at the same moment. One control instance loses its disk, the one
+/// that lost it last if there is one, since two may not be without theirs.
+void soak::lose_all_power()
+{
+    const auto wiped = last_wiped_.empty() ? pick_process("control") : last_wiped_;
+    log_fault("loss of all power, wipe " + wiped);
+    for (const auto& name : fleet_.names("")) {
+        name == wiped ? fleet_.wipe(name) : fleet_.kill(name);
+    }
+    check_last_configuration(read_after_start);
+}
+
 void soak::recover(soak_result& out)
 {
     fleet_.end_faults();
     for (auto& it : scheduled_restores_) {
         it.first = absl::Now();
     }
-    wait(recovery);
+    wait(step);
+    const absl::Time last_fault = absl::Now();
+    lose_all_power();
+    wait(last_fault + recovery - absl::Now());
     const absl::Time begin = absl::Now();
     wait(final_measurement);
     out.served_at_end = records_.served_since(begin);
@@ -504,16 +525,20 @@
         records_.add_problem(absl::StrCat(
             "only ", out.served_at_end, " of the requests succeeded after the recovery"));
     }
-    check_last_configuration();
+    check_last_configuration(absl::ZeroDuration());
 }
 
-void soak::check_last_configuration()
+void soak::check_last_configuration(absl::Duration limit)
 {
     const auto expected = records_.newest_acknowledged();
+    const absl::Time end = absl::Now() + limit;
     std::uint64_t newest = 0;
-    for (const auto& at : fleet_.control_api()) {
-        newest = std::max(newest, read_configuration(at));
-    }
+    do {
+        wait(step);
+        for (const auto& at : fleet_.control_api()) {
+            newest = std::max(newest, read_configuration(at));
+        }
+    } while (newest < expected && absl::Now() < end);
     if (newest < expected) {
         records_.add_problem(absl::StrCat(
             "configuration ",
