Hear entries that start after their clock was set back

Callers could be sent to fewer entries than there are: an entry whose machine's time of day was set back between two starts was named to no caller, and no other entry heard it, until it started once more. If it had been stopping before, control took it for stopping for 60 s.

The incarnation of an entry is the time of day at its start, and a lower one counted as an earlier process for ever.

Change: a message of a lower incarnation counts as late for 3 s after the last one of the higher incarnation, in the roster, in the reports and in the heartbeats between entries. An earlier process can't send later than that, and a later one is heard after 3 s at most.

Open: an entry that starts so at a new address isn't recorded by entry_joined, as a logged command keeps its meaning.

--- a/src/control/entry_reports.cpp
+++ b/src/control/entry_reports.cpp
@@ -1,5 +1,7 @@
 #include "control/entry_reports_priv.hpp"
 
+#include "core/earlier_start_priv.hpp"
+
 #include <algorithm>
 
 namespace cuminpitch::control {
@@ -7,10 +9,11 @@
 void entry_reports::add(const sync_request& it, absl::Time now)
 {
     auto& known = entries_[it.entry.id];
-    if (it.incarnation < known.incarnation) {
+    if (core::is_of_earlier_start(
+            it.incarnation, known.incarnation, known.last_report, now)) {
         return;
     }
-    if (it.incarnation > known.incarnation) {
+    if (it.incarnation != known.incarnation) {
         // A restarted entry may have an older revision in force than before.
         known = {};
     }
--- a/src/control/entry_roster.cpp
+++ b/src/control/entry_roster.cpp
@@ -1,5 +1,6 @@
 #include "control/entry_roster_priv.hpp"
 
+#include "core/earlier_start_priv.hpp"
 #include "cuminpitch/core/hash.hpp"
 
 #include <absl/container/btree_set.h>
@@ -47,7 +48,8 @@
 void entry_roster::receive(absl::Time now, const presence& it)
 {
     auto& known = entries_[it.entry.id];
-    if (it.incarnation < known.incarnation) {
+    if (core::is_of_earlier_start(
+            it.incarnation, known.incarnation, known.last_heard, now)) {
         return;
     }
     known = {it.entry, it.incarnation, it.ready, it.impaired, it.slots, now};
--- a/src/health/pool_health.cpp
+++ b/src/health/pool_health.cpp
@@ -1,5 +1,6 @@
 #include "cuminpitch/health/pool_health.hpp"
 
+#include "core/earlier_start_priv.hpp"
 #include "cuminpitch/health/capacity_window.hpp"
 #include "cuminpitch/health/evidence_stream.hpp"
 #include "cuminpitch/health/latency_quantile.hpp"
@@ -37,6 +38,7 @@
 struct peer
 {
     std::uint64_t incarnation = 0;
+    absl::Time last_heard = absl::InfinitePast();
     absl::Time clock = absl::InfinitePast(); ///< Newest reading of its clock.
     /// Newest reading of this entry's clock that it echoed.
     absl::Time last_contact = absl::InfinitePast();
@@ -351,14 +353,15 @@
         return;
     }
     auto& at = this_pool.peers[from];
-    if (it.incarnation < at.incarnation) {
+    if (core::is_of_earlier_start(it.incarnation, at.incarnation, at.last_heard, now)) {
         return;
     }
     ++this_pool.counts.heartbeats_received;
-    if (it.incarnation > at.incarnation) {
+    if (it.incarnation != at.incarnation) {
         at = peer{};
         at.incarnation = it.incarnation;
     }
+    at.last_heard = now;
     const bool own_echo =
         it.echo && it.echo_incarnation == this_pool.incarnation && *it.echo <= now;
     const auto echo = own_echo ? it.echo : std::nullopt;
--- a/tests/control/entry_roster_test.cpp
+++ b/tests/control/entry_roster_test.cpp
@@ -79,6 +79,15 @@
     EXPECT_EQ(choose("a"), names{"a1"});
 }
 
+// Guards against an entry that no caller is named until control starts again.
+TEST_F(entry_roster_test, names_an_entry_that_starts_after_its_clock_was_set_back)
+{
+    receive_presence("a1", "a", true, false, 2);
+    now += absl::Seconds(4);
+    receive_presence("a1", "a", true, false, 1);
+    EXPECT_EQ(choose("a"), names{"a1"});
+}
+
 // Guards against directing callers to an entry whose connections to servers fail, and
 // against an empty answer if this is so for all entries.
 TEST_F(entry_roster_test, names_impaired_entries_only_without_others)
--- a/tests/health/pool_health_test.cpp
+++ b/tests/health/pool_health_test.cpp
@@ -337,6 +337,25 @@
     EXPECT_FALSE(it.servers(start + absl::Seconds(5.1)).at(1).ejected);
 }
 
+// Guards against an entry that no other entry hears any more.
+TEST(pool_health, entry_that_starts_after_its_clock_was_set_back_is_heard)
+{
+    config::pool_settings settings;
+    settings.id = pool;
+    const auto start = absl::UnixEpoch() + absl::Hours(1);
+    pool_health it(core::instance_id("e0"), 1, start, settings, {}, 1);
+    pool_heartbeat message;
+    message.pool = pool;
+    message.incarnation = 2;
+    message.clock = start;
+    it.receive(start, core::instance_id("e1"), message);
+    message.incarnation = 1;
+    it.receive(start + absl::Seconds(1), core::instance_id("e1"), message);
+    EXPECT_EQ(it.counts().heartbeats_received, 1U);
+    it.receive(start + absl::Seconds(4), core::instance_id("e1"), message);
+    EXPECT_EQ(it.counts().heartbeats_received, 2U);
+}
+
 // Guards against failing probes that eject a server without other evidence, and against a
 // faulty probe endpoint that keeps a recovered server ejected for ever.
 TEST(pool_health, failing_probes_neither_eject_nor_prevent_readmission)
