--- a/tests/control/power_walk_test.cpp
+++ b/tests/control/power_walk_test.cpp
@@ -161,6 +161,8 @@
     }
 }
 
+// Each of these guards against an acknowledged document that can't be read any more.
+
 TEST(power_walk, instance_is_added)
 {
     walk_through(
